--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements; each module prints one JSON object."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/bronzequay/api/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP for callers and operators."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/bronzequay/cfg/__init__.py
@@ -0,0 +1,3 @@
+"""Settings and configuration bundles; imports ``store`` and ``policy``."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/bronzequay/obs/__init__.py
@@ -0,0 +1,3 @@
+"""Logs, metrics, state dump and the analyst's report."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/bronzequay/policy/model.py
@@ -0,0 +1,400 @@
+"""Types of the scheduling core: jobs, fleet, rules, events and commands."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from bronzequay import codes, ids
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+class Urgency(enum.Enum):
+    """Priority class of a job or request."""
+
+    LOW = "low"
+    NORMAL = "normal"
+    URGENT = "urgent"
+
+
+class JobState(enum.Enum):
+    """Stage of a job's life; ``TRANSITIONS`` lists the legal moves."""
+
+    ACCEPTED = "accepted"
+    STARTING = "starting"
+    RUNNING = "running"
+    RECLAIMING = "reclaiming"
+    CANCELLING = "cancelling"
+    FINISHED = "finished"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    REFUSED = "refused"
+    INFEASIBLE = "infeasible"
+    IN_DOUBT = "in_doubt"
+
+
+TRANSITIONS: Mapping[JobState, frozenset[JobState]] = {
+    JobState.ACCEPTED: frozenset(
+        {JobState.STARTING, JobState.CANCELLED, JobState.INFEASIBLE, JobState.REFUSED}
+    ),
+    JobState.STARTING: frozenset(
+        {
+            JobState.RUNNING,
+            JobState.RECLAIMING,
+            JobState.CANCELLING,
+            JobState.FAILED,
+            JobState.IN_DOUBT,
+        }
+    ),
+    JobState.RUNNING: frozenset(
+        {
+            JobState.RECLAIMING,
+            JobState.CANCELLING,
+            JobState.FINISHED,
+            JobState.FAILED,
+            JobState.IN_DOUBT,
+        }
+    ),
+    JobState.RECLAIMING: frozenset(
+        {
+            JobState.ACCEPTED,
+            JobState.CANCELLING,
+            JobState.FINISHED,
+            JobState.FAILED,
+            JobState.IN_DOUBT,
+        }
+    ),
+    JobState.CANCELLING: frozenset(
+        {JobState.CANCELLED, JobState.FINISHED, JobState.FAILED, JobState.IN_DOUBT}
+    ),
+    JobState.IN_DOUBT: frozenset(
+        {JobState.ACCEPTED, JobState.FINISHED, JobState.FAILED, JobState.CANCELLED}
+    ),
+    JobState.INFEASIBLE: frozenset({JobState.ACCEPTED, JobState.CANCELLED}),
+    JobState.FINISHED: frozenset(),
+    JobState.FAILED: frozenset(),
+    JobState.CANCELLED: frozenset(),
+    JobState.REFUSED: frozenset(),
+}
+
+FINAL_STATES = frozenset(state for state, after in TRANSITIONS.items() if not after)
+PLACED_STATES = frozenset(
+    {
+        JobState.STARTING,
+        JobState.RUNNING,
+        JobState.RECLAIMING,
+        JobState.CANCELLING,
+        JobState.IN_DOUBT,
+    }
+)
+
+
+class JobSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a caller asks for; sizes are per member.
+
+    :param members: tasks of the gang, all or none of which run
+    :param accelerators: accelerators a member needs, all on one worker
+    :param cpu: processor cores a member needs
+    :param mem_gb: memory a member needs, in GB
+    :param declared_s: run time the caller expects, in seconds
+    :param idempotent: whether the job may be started again after an unknown outcome
+    :param reclaimable: whether the job may borrow and be checkpointed and stopped
+    :param deadline_s: seconds after acceptance by which the job is to finish
+    """
+
+    org: ids.OrgId
+    caller: ids.CallerId
+    members: int
+    accelerators: int
+    cpu: int
+    mem_gb: int
+    declared_s: float
+    urgency: Urgency = Urgency.NORMAL
+    idempotent: bool = False
+    reclaimable: bool = True
+    deadline_s: float | None = None
+
+
+class WorkerSpec(msgspec.Struct, frozen=True):
+    """Capacity and place of a worker."""
+
+    worker: ids.WorkerId
+    rack: ids.RackId
+    data_centre: ids.DataCentreId
+    accelerators: int
+    cpu: int
+    mem_gb: int
+
+
+class Shape(msgspec.Struct, frozen=True):
+    """Adjacent accelerators: ``count`` cells of ``accelerators`` each, one worker a cell."""
+
+    accelerators: int
+    count: int
+
+
+class OrgRules(msgspec.Struct, frozen=True):
+    """One organisation's guarantee and limits.
+
+    :param guarantee: cells that can be reclaimed at any moment
+    :param max_queued: accepted jobs that may wait at once
+    :param max_caller_queued: accepted jobs of one caller that may wait at once
+    :param may_borrow: whether jobs may run beyond the guarantee
+    """
+
+    guarantee: tuple[Shape, ...]
+    max_queued: int = 10_000
+    max_caller_queued: int = 2_000
+    may_borrow: bool = True
+
+
+class Rules(msgspec.Struct, frozen=True):
+    """The part of a configuration bundle that decisions depend on.
+
+    :param urgency_floors: share of the fleet each class keeps under a flood of another
+    """
+
+    version: ids.BundleVersion
+    orgs: dict[ids.OrgId, OrgRules]
+    urgency_floors: dict[Urgency, float] = msgspec.field(
+        default_factory=lambda: {Urgency.URGENT: 0.2, Urgency.NORMAL: 0.2, Urgency.LOW: 0.05}
+    )
+
+
+class Placement(msgspec.Struct, frozen=True):
+    """One member of a gang on one worker.
+
+    :param devices: indexes of the worker's accelerators
+    """
+
+    member: int
+    worker: ids.WorkerId
+    devices: tuple[int, ...]
+
+
+class HistoryEntry(msgspec.Struct, frozen=True):
+    """One change of a job's state, kept for the analyst.
+
+    :param at_s: seconds since the Unix epoch
+    """
+
+    at_s: float
+    state: JobState
+    code: codes.ResultCode
+    attempt: int
+    bundle: ids.BundleVersion
+    workers: tuple[ids.WorkerId, ...] = ()
+    detail: str = ""
+
+
+class JobRecord(msgspec.Struct):
+    """Durable form of a job; the journal stores it, the core decides on it.
+
+    :param attempt: number of the last start, 0 before the first
+    :param attained_s: run time that checkpoints have kept, in seconds
+    :param key: the caller's deduplication key
+    """
+
+    job: ids.JobId
+    spec: JobSpec
+    state: JobState
+    code: codes.ResultCode
+    accepted_s: float
+    attempt: int = 0
+    placements: tuple[Placement, ...] = ()
+    started_s: float | None = None
+    ended_s: float | None = None
+    attained_s: float = 0.0
+    failures: int = 0
+    key: str | None = None
+    history: list[HistoryEntry] = msgspec.field(default_factory=list)
+
+
+class StopMode(enum.Enum):
+    """How members of a gang are stopped."""
+
+    CHECKPOINT = "checkpoint"
+    STOP = "stop"
+
+
+class MemberFault(enum.Enum):
+    """Why a member of a gang did not run to its end."""
+
+    START_FAILED = "start_failed"
+    TASK_FAILED = "task_failed"
+    WORKER_LOST = "worker_lost"
+    OVER_DECLARED = "over_declared"
+
+
+# Events: what the shell tells the core.
+
+
+class JobSubmitted(msgspec.Struct, frozen=True):
+    """A caller's job, not yet accepted."""
+
+    job: ids.JobId
+    spec: JobSpec
+    key: str | None = None
+
+
+class JobCancelled(msgspec.Struct, frozen=True):
+    """A caller or operator no longer wants the job."""
+
+    job: ids.JobId
+
+
+class GangHeld(msgspec.Struct, frozen=True):
+    """Every member of the attempt is started and held."""
+
+    job: ids.JobId
+    attempt: int
+
+
+class MemberFailed(msgspec.Struct, frozen=True):
+    """A member of the attempt failed or is lost; the others must stop."""
+
+    job: ids.JobId
+    attempt: int
+    worker: ids.WorkerId
+    fault: MemberFault
+
+
+class GangFinished(msgspec.Struct, frozen=True):
+    """Every member of the attempt ended by itself without error."""
+
+    job: ids.JobId
+    attempt: int
+
+
+class GangStopped(msgspec.Struct, frozen=True):
+    """Every member of the attempt is known to be stopped.
+
+    :param kept_s: run time of this attempt that a checkpoint kept, in seconds
+    """
+
+    job: ids.JobId
+    attempt: int
+    kept_s: float = 0.0
+
+
+class GangUnknown(msgspec.Struct, frozen=True):
+    """After a takeover the fate of the attempt cannot be learnt yet."""
+
+    job: ids.JobId
+    attempt: int
+
+
+class WorkerJoined(msgspec.Struct, frozen=True):
+    """A worker is available for new work."""
+
+    spec: WorkerSpec
+
+
+class WorkerLeaving(msgspec.Struct, frozen=True):
+    """A worker finishes what it runs and takes no new work."""
+
+    worker: ids.WorkerId
+
+
+class WorkerGone(msgspec.Struct, frozen=True):
+    """A worker is lost and its leases have run out."""
+
+    worker: ids.WorkerId
+
+
+class RulesChanged(msgspec.Struct, frozen=True):
+    """Another bundle version is in force."""
+
+    rules: Rules
+
+
+class Tick(msgspec.Struct, frozen=True):
+    """Time has passed; timeouts and aging apply."""
+
+
+Event = (
+    JobSubmitted
+    | JobCancelled
+    | GangHeld
+    | MemberFailed
+    | GangFinished
+    | GangStopped
+    | GangUnknown
+    | WorkerJoined
+    | WorkerLeaving
+    | WorkerGone
+    | RulesChanged
+    | Tick
+)
+
+
+# Commands: what the core asks of the shell, after the dirty records are durable.
+
+
+class StartGang(msgspec.Struct, frozen=True):
+    """Start every member held; release none before all have answered."""
+
+    job: ids.JobId
+    attempt: int
+    spec: JobSpec
+    placements: tuple[Placement, ...]
+
+
+class ReleaseGang(msgspec.Struct, frozen=True):
+    """Let every held member run."""
+
+    job: ids.JobId
+    attempt: int
+    placements: tuple[Placement, ...]
+
+
+class StopGang(msgspec.Struct, frozen=True):
+    """Stop every member and report ``GangStopped`` once all are known to be stopped."""
+
+    job: ids.JobId
+    attempt: int
+    placements: tuple[Placement, ...]
+    mode: StopMode
+
+
+Command = StartGang | ReleaseGang | StopGang
+
+
+__all__ = [
+    "FINAL_STATES",
+    "PLACED_STATES",
+    "TRANSITIONS",
+    "Command",
+    "Event",
+    "GangFinished",
+    "GangHeld",
+    "GangStopped",
+    "GangUnknown",
+    "HistoryEntry",
+    "JobCancelled",
+    "JobRecord",
+    "JobSpec",
+    "JobState",
+    "JobSubmitted",
+    "MemberFailed",
+    "MemberFault",
+    "OrgRules",
+    "Placement",
+    "ReleaseGang",
+    "Rules",
+    "RulesChanged",
+    "Shape",
+    "StartGang",
+    "StopGang",
+    "StopMode",
+    "Tick",
+    "Urgency",
+    "WorkerGone",
+    "WorkerJoined",
+    "WorkerLeaving",
+    "WorkerSpec",
+]
--- /dev/null
+++ b/src/bronzequay/sched/__init__.py
@@ -0,0 +1,3 @@
+"""The scheduler's shell: journal, takeover, gang start, reconcile."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/bronzequay/store/__init__.py
@@ -0,0 +1,3 @@
+"""Client of the platform's key-value service."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/bronzequay/work/__init__.py
@@ -0,0 +1,3 @@
+"""Workers and executors: protocol adapters, leases, keepers."""
+
+from __future__ import annotations
