--- /dev/null
+++ b/src/bronzequay/cfg/entry.py
@@ -0,0 +1,157 @@
+"""Settings of ``bronzequay-entry``."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from bronzequay import ids
+from bronzequay.cfg import settings
+
+MAX_SECONDS = 86_400.0
+
+DECLARED = (
+    settings.Setting(
+        name="instance",
+        default=None,
+        unit="",
+        description="name of this instance, unique in the deployment",
+        parse=settings.text,
+    ),
+    settings.Setting(
+        name="region",
+        default="local",
+        unit="",
+        description="region, the partition whose jobs this instance schedules",
+        parse=settings.text,
+    ),
+    settings.Setting(
+        name="data_centre",
+        default="local",
+        unit="",
+        description="data centre of this instance",
+        parse=settings.text,
+    ),
+    settings.Setting(
+        name="host",
+        default="127.0.0.1",
+        unit="",
+        description="IP number to listen on",
+        parse=settings.text,
+    ),
+    settings.Setting(
+        name="port",
+        default="8080",
+        unit="",
+        description="TCP port for callers and operators; 0 takes any",
+        parse=settings.whole(0, settings.MAX_PORT),
+    ),
+    settings.Setting(
+        name="mesh_port",
+        default="0",
+        unit="",
+        description="TCP port for the other instances; 0 takes any",
+        parse=settings.whole(0, settings.MAX_PORT),
+    ),
+    settings.Setting(
+        name="platform_url",
+        default="http://127.0.0.1:7000",
+        unit="",
+        description="address of the platform's service",
+        parse=settings.url,
+    ),
+    settings.Setting(
+        name="scheduler_lease_s",
+        default="3",
+        unit="s",
+        description="time to live of the scheduler's lease; a takeover waits for it",
+        parse=settings.number(0.5, 60),
+    ),
+    settings.Setting(
+        name="task_lease_s",
+        default="30",
+        unit="s",
+        description="time to live of a task's lease on a worker",
+        parse=settings.number(1, 3600),
+    ),
+    settings.Setting(
+        name="discovery_s",
+        default="1",
+        unit="s",
+        description="time between looks at the platform's list of instances",
+        parse=settings.number(0.1, 60),
+    ),
+    settings.Setting(
+        name="drain_timeout_s",
+        default="60",
+        unit="s",
+        description="longest time that a shutdown waits for requests in progress",
+        parse=settings.number(0, MAX_SECONDS),
+    ),
+    settings.Setting(
+        name="store_calls_per_s",
+        default="100",
+        unit="calls/s",
+        description="this instance's budget of calls to the platform's service",
+        parse=settings.number(1, 10_000),
+    ),
+    settings.Setting(
+        name="statsd_address",
+        default="",
+        unit="",
+        description="IP number and port of the statsd daemon; empty sends none",
+        parse=settings.any_text,
+    ),
+    settings.Setting(
+        name="log_level",
+        default="info",
+        unit="",
+        description="least level of the events logged",
+        parse=settings.choice("debug", "info", "warning", "error"),
+    ),
+    settings.Setting(
+        name="operator_tokens",
+        default="",
+        unit="",
+        description="first operators as NAME=ROLE:TOKEN, comma-separated; the bundle adds others",
+        parse=settings.any_text,
+        is_secret=True,
+    ),
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EntryCfg:
+    """Typed values of ``DECLARED``."""
+
+    instance: ids.InstanceId
+    region: ids.RegionId
+    data_centre: ids.DataCentreId
+    host: str
+    port: int
+    mesh_port: int
+    platform_url: str
+    scheduler_lease_s: float
+    task_lease_s: float
+    discovery_s: float
+    drain_timeout_s: float
+    store_calls_per_s: float
+    statsd_address: str
+    log_level: str
+    operator_tokens: str
+
+
+def load() -> tuple[EntryCfg, dict[str, settings.Resolved]]:
+    """Read the settings of this process.
+
+    :return: the typed settings, and each with its origin
+    :raises errors.BronzequayError: for a bad, missing or unknown setting
+    """
+    return settings.load(
+        EntryCfg,
+        DECLARED,
+        program="bronzequay-entry",
+        description="Entry instance: serves callers and operators, schedules jobs.",
+    )
+
+
+__all__ = ["DECLARED", "EntryCfg", "load"]
--- /dev/null
+++ b/src/bronzequay/cfg/settings.py
@@ -0,0 +1,265 @@
+"""Settings of a daemon, declared once, read from flags, then environment, then defaults."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import os
+import sys
+from typing import TYPE_CHECKING, Annotated, Any, TypeVar
+
+import cappa
+
+from bronzequay import codes, errors
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping, Sequence
+
+T = TypeVar("T")
+
+ENV_PREFIX = "BRONZEQUAY_"
+MASK = "********"
+MAX_PORT = 65_535
+
+
+class Origin(enum.Enum):
+    """Where a setting's value came from."""
+
+    DEFAULT = "default"
+    ENVIRONMENT = "environment"
+    FLAG = "flag"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Setting:
+    """Declaration of one setting.
+
+    :param name: name in Python; the flag and the variable are derived from it
+    :param default: text of the default, ``None`` when a value is required
+    :param parse: turns text into the value, raises ``ValueError`` with a reason
+    :param is_secret: the value is read from the environment only and never shown
+    """
+
+    name: str
+    default: str | None
+    unit: str
+    description: str
+    parse: Callable[[str], Any]
+    is_secret: bool = False
+
+    @property
+    def flag(self) -> str:
+        """Return the command-line flag."""
+        return "--" + self.name.replace("_", "-")
+
+    @property
+    def variable(self) -> str:
+        """Return the environment variable."""
+        return ENV_PREFIX + self.name.upper()
+
+
+@dataclasses.dataclass(frozen=True)
+class Resolved:
+    """A setting with its value and origin."""
+
+    setting: Setting
+    value: Any
+    origin: Origin
+
+    @property
+    def shown(self) -> str:
+        """Return the value as text, masked when it is secret."""
+        return MASK if self.setting.is_secret and self.value else str(self.value)
+
+
+def text(value: str) -> str:
+    """Parse a text that is not empty.
+
+    :raises ValueError: when it is empty
+    """
+    if not value.strip():
+        raise ValueError("must not be empty")
+    return value.strip()
+
+
+def any_text(value: str) -> str:
+    """Parse any text, the empty one included."""
+    return value
+
+
+def url(value: str) -> str:
+    """Parse an HTTP address without a trailing slash.
+
+    :raises ValueError: when it is no HTTP address
+    """
+    if not value.startswith(("http://", "https://")):
+        raise ValueError("must start with http:// or https://")
+    return value.rstrip("/")
+
+
+def whole(low: int, high: int) -> Callable[[str], int]:
+    """Return a parser of whole numbers within a range.
+
+    :param low: smallest value allowed
+    :param high: largest value allowed
+    """
+
+    def parse(value: str) -> int:
+        number = int(value) if value.strip().lstrip("-").isdigit() else None
+        if number is None or not low <= number <= high:
+            raise ValueError(f"must be a whole number from {low} to {high}")
+        return number
+
+    parse.__doc__ = f"whole number, {low} to {high}"
+    return parse
+
+
+def number(low: float, high: float) -> Callable[[str], float]:
+    """Return a parser of decimal numbers within a range.
+
+    :param low: smallest value allowed
+    :param high: largest value allowed
+    """
+
+    def parse(value: str) -> float:
+        try:
+            result = float(value)
+        except ValueError:
+            result = low - 1
+        if not low <= result <= high:
+            raise ValueError(f"must be a number from {low:g} to {high:g}")
+        return result
+
+    parse.__doc__ = f"number, {low:g} to {high:g}"
+    return parse
+
+
+def choice(*allowed: str) -> Callable[[str], str]:
+    """Return a parser of one word out of a few.
+
+    :param allowed: the words
+    """
+
+    def parse(value: str) -> str:
+        if value not in allowed:
+            raise ValueError(f"must be one of {', '.join(allowed)}")
+        return value
+
+    parse.__doc__ = f"one of {', '.join(allowed)}"
+    return parse
+
+
+def resolve(
+    declared: Sequence[Setting],
+    *,
+    flags: Mapping[str, str | None],
+    environ: Mapping[str, str],
+) -> dict[str, Resolved]:
+    """Give each setting its value: flag first, then environment, then default.
+
+    :param declared: the settings of the program
+    :param flags: flag values by setting name, ``None`` where absent
+    :param environ: the process environment
+    :return: resolved settings by name
+    :raises errors.BronzequayError: for a bad, missing or unknown setting
+    """
+    known = {setting.variable for setting in declared}
+    for variable in sorted(environ):
+        if variable.startswith(ENV_PREFIX) and variable not in known:
+            raise errors.BronzequayError(
+                codes.ResultCode.SETTING_UNKNOWN, "no such setting", field=variable
+            )
+    return {
+        setting.name: _resolve_one(setting, flags.get(setting.name), environ)
+        for setting in declared
+    }
+
+
+def _resolve_one(setting: Setting, flag: str | None, environ: Mapping[str, str]) -> Resolved:
+    place = f"flag {setting.flag}, variable {setting.variable}"
+    raw, origin = setting.default, Origin.DEFAULT
+    if setting.variable in environ:
+        raw, origin = environ[setting.variable], Origin.ENVIRONMENT
+    if flag is not None:
+        raw, origin = flag, Origin.FLAG
+    if raw is None:
+        raise errors.BronzequayError(
+            codes.ResultCode.SETTING_MISSING, "a value is required", field=place
+        )
+    try:
+        value = setting.parse(raw)
+    except ValueError as exc:
+        shown = MASK if setting.is_secret else repr(raw)
+        raise errors.BronzequayError(
+            codes.ResultCode.SETTING_INVALID, f"{shown}: {exc}", field=place
+        ) from None
+    return Resolved(setting, value, origin)
+
+
+def parse_flags(
+    declared: Sequence[Setting], *, program: str, description: str, argv: Sequence[str]
+) -> dict[str, str | None]:
+    """Read the flags of a program; ends the process on ``--help`` or a bad flag.
+
+    :param declared: the settings; secret ones have no flag
+    :param program: the command's name
+    :param description: one sentence for ``--help``
+    :param argv: the arguments after the command's name
+    :return: flag values by setting name
+    """
+    fields = [
+        (
+            setting.name,
+            Annotated[str | None, cappa.Arg(long=setting.flag, help=_help(setting))],
+            dataclasses.field(default=None),
+        )
+        for setting in declared
+        if not setting.is_secret
+    ]
+    flags = dataclasses.make_dataclass("Flags", fields)
+    command: type[Any] = cappa.command(flags, name=program, description=description)
+    parsed = cappa.parse(command, argv=list(argv), completion=False)
+    return dict(vars(parsed))
+
+
+def _help(setting: Setting) -> str:
+    unit = f" [{setting.unit}]" if setting.unit else ""
+    default = "required" if setting.default is None else f"default {setting.default!r}"
+    return f"{setting.description}{unit}; {default}; ${setting.variable}"
+
+
+def load(
+    kind: type[T], declared: Sequence[Setting], *, program: str, description: str
+) -> tuple[T, dict[str, Resolved]]:
+    """Build a program's typed settings from this process's flags and environment.
+
+    :param kind: a dataclass with one field a setting
+    :param declared: the settings
+    :param program: the command's name
+    :param description: one sentence for ``--help``
+    :return: the typed settings, and each with its origin
+    :raises errors.BronzequayError: for a bad, missing or unknown setting
+    """
+    flags = parse_flags(declared, program=program, description=description, argv=sys.argv[1:])
+    resolved = resolve(declared, flags=flags, environ=os.environ)
+    values = {name: item.value for name, item in resolved.items()}
+    return kind(**values), resolved
+
+
+__all__ = [
+    "ENV_PREFIX",
+    "MASK",
+    "MAX_PORT",
+    "Origin",
+    "Resolved",
+    "Setting",
+    "any_text",
+    "choice",
+    "load",
+    "number",
+    "parse_flags",
+    "resolve",
+    "text",
+    "url",
+    "whole",
+]
--- /dev/null
+++ b/src/bronzequay/obs/log.py
@@ -0,0 +1,47 @@
+"""Logs: one line of key=value pairs for each event, on standard error."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import TYPE_CHECKING
+
+import structlog
+
+if TYPE_CHECKING:
+    from bronzequay import ids
+
+SECRET_KEYS = frozenset({"token", "authorization", "operator_tokens"})
+
+
+def configure(*, level: str, instance: ids.InstanceId | str) -> None:
+    """Set up the process's logs.
+
+    :param level: least level to write
+    :param instance: added to each line
+    """
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            _drop_secrets,
+            structlog.processors.format_exc_info,
+            structlog.processors.KeyValueRenderer(
+                key_order=["timestamp", "level", "event", "instance"], drop_missing=True
+            ),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(level.upper())),
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.bind_contextvars(instance=instance)
+
+
+def _drop_secrets(
+    _logger: object, _method: str, event: structlog.typing.EventDict
+) -> structlog.typing.EventDict:
+    return {key: value for key, value in event.items() if key not in SECRET_KEYS}
+
+
+__all__ = ["configure"]
--- a/src/bronzequay/policy/model.py
+++ b/src/bronzequay/policy/model.py
@@ -104,6 +104,7 @@
     :param idempotent: whether the job may be started again after an unknown outcome
     :param reclaimable: whether the job may borrow and be checkpointed and stopped
     :param deadline_s: seconds after acceptance by which the job is to finish
+    :param payload: handed to the workers unread
     """
 
     org: ids.OrgId
@@ -117,6 +118,7 @@
     idempotent: bool = False
     reclaimable: bool = True
     deadline_s: float | None = None
+    payload: dict[str, str | int | float | bool] = {}
 
 
 class WorkerSpec(msgspec.Struct, frozen=True):
