--- /dev/null
+++ b/src/bronzequay/api/answers.py
@@ -0,0 +1,137 @@
+"""Answers of the HTTP API: JSON bodies, errors with numbered codes."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+import quart
+
+from bronzequay import codes, errors
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+Code = codes.ResultCode
+
+STATUS: Mapping[codes.ResultCode, HTTPStatus] = {
+    Code.OK: HTTPStatus.OK,
+    Code.ACCEPTED: HTTPStatus.ACCEPTED,
+    Code.MALFORMED_BODY: HTTPStatus.BAD_REQUEST,
+    Code.UNKNOWN_FIELD: HTTPStatus.BAD_REQUEST,
+    Code.VALUE_OUT_OF_RANGE: HTTPStatus.BAD_REQUEST,
+    Code.VALUE_TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Code.UNKNOWN_ORG: HTTPStatus.UNPROCESSABLE_ENTITY,
+    Code.UNKNOWN_JOB: HTTPStatus.NOT_FOUND,
+    Code.UNKNOWN_SERVICE: HTTPStatus.NOT_FOUND,
+    Code.UNSUPPORTED_VERSION: HTTPStatus.NOT_FOUND,
+    Code.KEY_REUSED: HTTPStatus.CONFLICT,
+    Code.UNAUTHENTICATED: HTTPStatus.UNAUTHORIZED,
+    Code.FORBIDDEN: HTTPStatus.FORBIDDEN,
+    Code.NOT_FOUND: HTTPStatus.NOT_FOUND,
+    Code.METHOD_NOT_ALLOWED: HTTPStatus.METHOD_NOT_ALLOWED,
+    Code.ILLEGAL_TRANSITION: HTTPStatus.CONFLICT,
+    Code.QUEUE_FULL: HTTPStatus.TOO_MANY_REQUESTS,
+    Code.OVER_SHARE: HTTPStatus.TOO_MANY_REQUESTS,
+    Code.DEADLINE_PASSED: HTTPStatus.GATEWAY_TIMEOUT,
+    Code.INFEASIBLE: HTTPStatus.UNPROCESSABLE_ENTITY,
+    Code.RULE_REFUSED: HTTPStatus.TOO_MANY_REQUESTS,
+    Code.EXECUTOR_FAILED: HTTPStatus.BAD_GATEWAY,
+    Code.OUTCOME_UNKNOWN: HTTPStatus.GATEWAY_TIMEOUT,
+    Code.BUNDLE_INVALID: HTTPStatus.UNPROCESSABLE_ENTITY,
+    Code.BUNDLE_CONFLICT: HTTPStatus.CONFLICT,
+    Code.GUARANTEES_UNMET: HTTPStatus.UNPROCESSABLE_ENTITY,
+    Code.SIGN_OFF_REQUIRED: HTTPStatus.CONFLICT,
+    Code.BUNDLE_UNKNOWN: HTTPStatus.NOT_FOUND,
+    Code.STORE_CONFLICT: HTTPStatus.CONFLICT,
+}
+UNAVAILABLE = HTTPStatus.SERVICE_UNAVAILABLE
+"""Status of every code that the table does not name."""
+
+NOT_RUN_CODES = frozenset(code for code in Code if code > Code.OK and code // 100 in {2, 3})
+"""Codes after which nothing ran."""
+
+
+class ErrorBody(msgspec.Struct, omit_defaults=True):
+    """JSON body of an error.
+
+    :param is_not_run: whether it is certain that nothing ran
+    """
+
+    code: int
+    name: str
+    message: str
+    is_not_run: bool
+    field: str | None = None
+    retry_after_s: float | None = None
+
+
+def error_body(exc: errors.BronzequayError) -> bytes:
+    """Return the JSON body of an error."""
+    body = ErrorBody(
+        code=exc.code.value,
+        name=exc.code.name,
+        message=exc.message,
+        is_not_run=exc.code in NOT_RUN_CODES,
+        field=exc.field,
+        retry_after_s=exc.retry_after_s,
+    )
+    return msgspec.json.encode(body)
+
+
+def status_of(code: codes.ResultCode) -> HTTPStatus:
+    """Return the HTTP status that goes with a code."""
+    return STATUS.get(code, UNAVAILABLE)
+
+
+def json_answer(value: Any, *, status: HTTPStatus = HTTPStatus.OK) -> quart.Response:
+    """Return a typed value as a JSON answer."""
+    return quart.Response(
+        msgspec.json.encode(value), status=status.value, content_type="application/json"
+    )
+
+
+def error_answer(exc: errors.BronzequayError) -> quart.Response:
+    """Return an error as a JSON answer."""
+    answer = quart.Response(
+        error_body(exc), status=status_of(exc.code).value, content_type="application/json"
+    )
+    if exc.retry_after_s is not None:
+        answer.headers["retry-after"] = str(max(1, round(exc.retry_after_s)))
+    return answer
+
+
+def decode_json(raw: bytes, kind: Any) -> Any:
+    """Decode a typed JSON body.
+
+    :param raw: the body
+    :param kind: the type it must have
+    :raises errors.BronzequayError: MALFORMED_BODY, UNKNOWN_FIELD or VALUE_OUT_OF_RANGE
+    """
+    try:
+        return msgspec.json.decode(raw, type=kind, strict=True)
+    except msgspec.ValidationError as exc:
+        raise errors.BronzequayError(_validation_code(str(exc)), str(exc)) from None
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise errors.BronzequayError(Code.MALFORMED_BODY, f"not JSON: {exc}") from None
+
+
+def _validation_code(message: str) -> codes.ResultCode:
+    if "unknown field" in message:
+        return Code.UNKNOWN_FIELD
+    if any(sign in message for sign in (">=", "<=", "length", "matching regex", "out of range")):
+        return Code.VALUE_OUT_OF_RANGE
+    return Code.MALFORMED_BODY
+
+
+__all__ = [
+    "NOT_RUN_CODES",
+    "STATUS",
+    "ErrorBody",
+    "decode_json",
+    "error_answer",
+    "error_body",
+    "json_answer",
+    "status_of",
+]
--- /dev/null
+++ b/src/bronzequay/api/app.py
@@ -0,0 +1,59 @@
+"""The HTTP application of an entry instance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import quart
+import quart_trio
+import structlog
+from werkzeug import exceptions
+
+from bronzequay import codes, errors
+from bronzequay.api import admin, answers, jobs, requests
+
+if TYPE_CHECKING:
+    from bronzequay.api import services
+
+MAX_BODY_BYTES = 16_000_000
+HTTP_CODES = {
+    404: codes.ResultCode.NOT_FOUND,
+    405: codes.ResultCode.METHOD_NOT_ALLOWED,
+    413: codes.ResultCode.VALUE_TOO_LARGE,
+}
+
+_log = structlog.get_logger()
+
+
+def make_app(deps: services.Services) -> requests.App:
+    """Return the ASGI application.
+
+    :param deps: what the routes work on
+    """
+    app = quart_trio.QuartTrio("bronzequay")
+    app.config["MAX_CONTENT_LENGTH"] = MAX_BODY_BYTES
+    app.register_blueprint(jobs.make_blueprint(deps))
+    app.register_blueprint(admin.make_blueprint(deps))
+    app.register_error_handler(errors.BronzequayError, _on_error)
+    app.register_error_handler(exceptions.HTTPException, _on_http_error)
+    app.register_error_handler(Exception, _on_bug)
+    return requests.make_app(deps, app)
+
+
+async def _on_error(exc: errors.BronzequayError) -> quart.Response:
+    return answers.error_answer(exc)
+
+
+async def _on_http_error(exc: exceptions.HTTPException) -> quart.Response:
+    code = HTTP_CODES.get(exc.code or 0, codes.ResultCode.MALFORMED_BODY)
+    return answers.error_answer(errors.BronzequayError(code, exc.description or exc.name))
+
+
+async def _on_bug(exc: Exception) -> quart.Response:
+    _log.error("unhandled_error", path=quart.request.path, exc_info=exc)
+    return answers.error_answer(
+        errors.BronzequayError(codes.ResultCode.INTERNAL, "an internal error; the log has it")
+    )
+
+
+__all__ = ["make_app"]
--- /dev/null
+++ b/src/bronzequay/api/services.py
@@ -0,0 +1,64 @@
+"""What the HTTP routes work on."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING, Any
+
+from bronzequay import ids
+from bronzequay.cfg import rollout
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    import quart
+
+    from bronzequay.api import auth
+    from bronzequay.cfg import holder
+    from bronzequay.route import router
+    from bronzequay.sched import gateway
+    from bronzequay.store import client
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Services:
+    """Parts of one entry instance that the routes need.
+
+    :param routers: one for each known service
+    :param dump: the state of this process
+    :param wall_clock: seconds since the Unix epoch
+    """
+
+    instance: ids.InstanceId
+    gateway: gateway.Gateway
+    routers: Mapping[ids.ServiceId, router.Router]
+    holder: holder.Holder
+    registry: auth.Registry
+    store: client.Store
+    dump: Callable[[], Mapping[str, Any]]
+    is_draining: Callable[[], bool]
+    wall_clock: Callable[[], float]
+
+    def identify(self, req: quart.Request) -> auth.Identity:
+        """Return who sent a request.
+
+        :raises errors.BronzequayError: UNAUTHENTICATED
+        """
+        return self.registry.identify(req.headers.get("authorization"))
+
+    async def roll_out(self, digest: str, *, expected: int) -> rollout.HeadEntry:
+        """Roll a draft out and adopt it on this instance at once.
+
+        :raises errors.BronzequayError: as ``rollout.roll_out``
+        """
+        entry = await rollout.roll_out(
+            self.store,
+            digest,
+            expected=ids.BundleVersion(expected),
+            wall_clock=self.wall_clock,
+        )
+        self.holder.adopt(entry.version, await rollout.read_body(self.store, digest))
+        return entry
+
+
+__all__ = ["Services"]
--- a/src/bronzequay/cfg/entry.py
+++ b/src/bronzequay/cfg/entry.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
 
-from bronzequay import ids
 from bronzequay.cfg import settings
 
+if TYPE_CHECKING:
+    from bronzequay import ids
+
 MAX_SECONDS = 86_400.0
 
 DECLARED = (
--- a/src/bronzequay/cfg/holder.py
+++ b/src/bronzequay/cfg/holder.py
@@ -8,12 +8,11 @@
 
 from bronzequay import ids
 from bronzequay.cfg import bundle as bundles
+from bronzequay.policy import model
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from bronzequay.policy import model
-
 
 class InForce(msgspec.Struct, frozen=True):
     """A bundle in force."""
