Thin router, executor adapter and executor stand-in

The whole path of a short request: queue, slots by two choices on local counts, attempts, claims in memory only, drain. Claims are not yet durable and the queue is first come first served; both follow.

--- /dev/null
+++ b/src/bronzequay/route/ports.py
@@ -0,0 +1,46 @@
+"""Interfaces that the router needs from other packages."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from bronzequay import ids
+    from bronzequay.route import model
+    from bronzequay.work import executor
+
+
+class RunClient(Protocol):
+    """The part of the executor adapter that the router uses."""
+
+    async def run(
+        self, address: str, *, request_id: ids.RequestId, body: bytes, deadline_s: float
+    ) -> bytes:
+        """Run one request; see ``bronzequay.work.executor.ExecutorClient.run``."""
+        ...
+
+    async def describe(self, address: str, *, deadline_s: float = 1.0) -> executor.Description:
+        """Ask an executor about itself."""
+        ...
+
+
+class ClaimBook(Protocol):
+    """Durable claims of non-idempotent requests."""
+
+    async def claim(self, req: model.Request, *, deadline_s: float) -> model.Response | None:
+        """Claim a request, or return the recorded answer of the first send.
+
+        :raises BronzequayError: refused as not run, or the outcome is not known
+        """
+        ...
+
+    def settle(self, req: model.Request, answer: model.Response | Exception) -> None:
+        """Record the outcome of a claimed request soon, without waiting."""
+        ...
+
+    async def run(self) -> None:
+        """Write claims until cancelled."""
+        ...
+
+
+__all__ = ["ClaimBook", "RunClient"]
--- /dev/null
+++ b/tests/fakes/test_executor.py
@@ -0,0 +1,91 @@
+from __future__ import annotations
+
+import base64
+from typing import Any
+
+import httpx
+import trio
+
+from bronzequay import ids
+from bronzequay.fakes import executor as fake
+
+X1 = ids.ExecutorId("x1")
+X2 = ids.ExecutorId("x2")
+
+
+def make_http() -> httpx.AsyncClient:
+    app = fake.make_app(
+        [X1, X2], service=ids.ServiceId("hire-desk"), data_centre=ids.DataCentreId("nottm-yard")
+    )
+    transport = httpx.ASGITransport(app=app)  # type: ignore[arg-type]
+    return httpx.AsyncClient(transport=transport, base_url="http://fake", timeout=1e6)
+
+
+async def post(http: httpx.AsyncClient, request: str, **kw: Any) -> httpx.Response:
+    headers = {"x-request-id": request, "x-deadline-s": "5"}
+    return await http.post("/e/x1/v1/run", headers=headers, content=b"sack", **kw)
+
+
+async def test_run_answers_the_request_and_counts_it() -> None:
+    http = make_http()
+    answer = await post(http, "r1")
+    assert answer.headers["x-request-id"] == "r1"
+    assert answer.json() == {
+        "request": "r1",
+        "echo_b64": base64.b64encode(b"sack").decode(),
+        "executor": "x1",
+        "runs": 1,
+    }
+    await post(http, "r1")
+    assert (await http.get("/runs")).json() == {"r1": 2}
+
+
+async def test_refusal_says_not_run_and_counts_nothing() -> None:
+    http = make_http()
+    await http.put("/e/x1/faults", json={"refuse": True})
+    answer = await post(http, "r1")
+    assert (answer.status_code, answer.headers["x-not-run"]) == (503, "1")
+    assert (await http.get("/runs")).json() == {}
+
+
+async def test_failed_run_is_counted() -> None:
+    http = make_http()
+    await http.put("/faults", json={"fail": True})
+    assert (await post(http, "r1")).status_code == 500
+    assert (await http.get("/runs")).json() == {"r1": 1}
+
+
+async def test_a_ninth_request_waits_for_a_slot(autojump_clock: trio.abc.Clock) -> None:
+    http = make_http()
+    await http.put("/faults", json={"delay_s": 1.0})
+    async with trio.open_nursery() as nursery:
+        for number in range(9):
+            nursery.start_soon(post, http, f"r{number}")
+        await trio.sleep(0.5)
+        described = (await http.get("/e/x1/v1/executor")).json()
+        assert (described["busy"], described["slots"]) == (8, 8)
+    assert trio.current_time() >= 2.0
+
+
+async def test_switches_change_one_executor_or_all() -> None:
+    http = make_http()
+    await http.put("/e/x1/faults", json={"leaving": True})
+    assert (await http.get("/e/x1/v1/executor")).json()["state"] == "leaving"
+    assert (await http.get("/e/x2/v1/executor")).json()["state"] == "live"
+    await http.put("/faults", json={})
+    assert (await http.get("/e/x1/v1/executor")).json()["state"] == "live"
+
+
+async def test_bad_switches_change_nothing() -> None:
+    http = make_http()
+    assert (await http.put("/faults", json={"silnt": True})).status_code == 400
+    assert (await http.put("/e/x9/faults", json={})).status_code == 404
+
+
+async def test_silent_executor_never_answers(autojump_clock: trio.abc.Clock) -> None:
+    http = make_http()
+    await http.put("/faults", json={"silent": True})
+    with trio.move_on_after(100) as scope:
+        await post(http, "r1")
+    assert scope.cancelled_caught
+    assert (await http.get("/runs")).json() == {}
