--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	$(VENV)/bin/pytest
 
 demo: $(STAMP)
-	$(VENV)/bin/python -m bronzequay.demo $(DEMO_ARGS)
+	scripts/demo.sh $(DEMO_ARGS)
 
 format: $(STAMP)
 	$(VENV)/bin/ruff format .
--- a/src/bronzequay/api/admin.py
+++ b/src/bronzequay/api/admin.py
@@ -40,7 +40,7 @@
     async def submit_draft() -> quart.Response:
         identity = deps.identify(quart.request)
         auth.require(identity, auth.Right.EDIT_BUNDLE)
-        text = await quart.request.get_data()
+        text = await answers.request_body()
         draft = await rollout.submit_draft(
             deps.store, text, author=identity.name, wall_clock=deps.wall_clock
         )
@@ -75,7 +75,7 @@
     @routes.post("/v1/bundles/roll-out")
     async def roll_out() -> quart.Response:
         auth.require(deps.identify(quart.request), auth.Right.ROLL_OUT)
-        body = answers.decode_json(await quart.request.get_data(), bodies.RollOutBody)
+        body = answers.decode_json(await answers.request_body(), bodies.RollOutBody)
         entry = await deps.roll_out(body.digest, expected=body.expected)
         return answers.json_answer(entry)
 
--- a/src/bronzequay/api/answers.py
+++ b/src/bronzequay/api/answers.py
@@ -102,6 +102,12 @@
     return answer
 
 
+async def request_body() -> bytes:
+    """Return the raw body of the request being served."""
+    raw = await quart.request.get_data(as_text=False)
+    return raw if isinstance(raw, bytes) else raw.encode()
+
+
 def decode_json(raw: bytes, kind: Any) -> Any:
     """Decode a typed JSON body.
 
@@ -133,5 +139,6 @@
     "error_answer",
     "error_body",
     "json_answer",
+    "request_body",
     "status_of",
 ]
--- a/src/bronzequay/api/app.py
+++ b/src/bronzequay/api/app.py
@@ -10,7 +10,7 @@
 from werkzeug import exceptions
 
 from bronzequay import codes, errors
-from bronzequay.api import admin, answers, jobs, requests
+from bronzequay.api import admin, answers, jobs, reports, requests
 
 if TYPE_CHECKING:
     from bronzequay.api import services
@@ -34,10 +34,11 @@
     app.config["MAX_CONTENT_LENGTH"] = MAX_BODY_BYTES
     app.register_blueprint(jobs.make_blueprint(deps))
     app.register_blueprint(admin.make_blueprint(deps))
+    app.register_blueprint(reports.make_blueprint(deps))
     app.register_error_handler(errors.BronzequayError, _on_error)
     app.register_error_handler(exceptions.HTTPException, _on_http_error)
     app.register_error_handler(Exception, _on_bug)
-    return requests.make_app(deps, app)
+    return requests.make_app(deps, app)  # type: ignore[arg-type]
 
 
 async def _on_error(exc: errors.BronzequayError) -> quart.Response:
--- a/src/bronzequay/api/jobs.py
+++ b/src/bronzequay/api/jobs.py
@@ -42,7 +42,7 @@
     @routes.post("")
     async def submit() -> quart.Response:
         identity = deps.identify(quart.request)
-        body = answers.decode_json(await quart.request.get_data(), bodies.SubmitBody)
+        body = answers.decode_json(await answers.request_body(), bodies.SubmitBody)
         spec = body.to_spec()
         auth.require(identity, auth.Right.SUBMIT, org=spec.org)
         record = await deps.gateway.submit(spec, key=body.key)
@@ -60,7 +60,7 @@
     @routes.post("/cancel")
     async def cancel() -> quart.Response:
         identity = deps.identify(quart.request)
-        body = answers.decode_json(await quart.request.get_data(), bodies.CancelBody)
+        body = answers.decode_json(await answers.request_body(), bodies.CancelBody)
         for job in body.jobs:
             record = await _find(deps, job)
             _require_cancel(identity, record)
@@ -85,7 +85,7 @@
 
 
 async def _find(deps: services.Services, job: ids.JobId) -> model.JobRecord:
-    record = await deps.gateway.get(job)
+    record: model.JobRecord | None = await deps.gateway.get(job)
     if record is None:
         raise errors.BronzequayError(codes.ResultCode.UNKNOWN_JOB, f"no job {job}")
     return record
--- /dev/null
+++ b/src/bronzequay/api/reports.py
@@ -0,0 +1,44 @@
+"""HTTP route of the analyst's report."""
+
+from __future__ import annotations
+
+import quart
+
+from bronzequay import codes, errors, ids
+from bronzequay.api import answers, auth, services
+from bronzequay.obs import report
+
+
+def make_blueprint(deps: services.Services) -> quart.Blueprint:
+    """Return the route ``/v1/report``.
+
+    :param deps: what the route works on
+    """
+    routes = quart.Blueprint("reports", __name__)
+
+    @routes.get("/v1/report")
+    async def show() -> quart.Response:
+        identity = deps.identify(quart.request)
+        args = quart.request.args
+        org = ids.OrgId(args["org"]) if "org" in args else identity.org
+        auth.require(identity, auth.Right.READ_ALL if org is None else auth.Right.READ_OWN, org=org)
+        from_s = _moment(args.get("from"), 0.0)
+        to_s = _moment(args.get("to"), deps.wall_clock())
+        records = await deps.gateway.list(org=org, state=None, limit=None)
+        return answers.json_answer(report.build(records, from_s=from_s, to_s=to_s))
+
+    return routes
+
+
+def _moment(value: str | None, default: float) -> float:
+    if value is None:
+        return default
+    try:
+        return float(value)
+    except ValueError:
+        raise errors.BronzequayError(
+            codes.ResultCode.VALUE_OUT_OF_RANGE, "seconds since the Unix epoch", field="from/to"
+        ) from None
+
+
+__all__ = ["make_blueprint"]
--- a/src/bronzequay/api/requests.py
+++ b/src/bronzequay/api/requests.py
@@ -13,7 +13,7 @@
 from bronzequay import codes, errors, ids
 from bronzequay.api import answers, auth
 from bronzequay.policy import model
-from bronzequay.route import router
+from bronzequay.route import model as route_model
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping, MutableMapping
@@ -47,11 +47,11 @@
             return
         try:
             body, request_id = await _serve(deps, scope, receive)
-            status, extra = HTTPStatus.OK, ((b"x-request-id", request_id.encode()),)
-            kind = b"application/octet-stream"
+            status, kind = HTTPStatus.OK, b"application/octet-stream"
+            extra = [(b"x-request-id", request_id.encode())]
         except errors.BronzequayError as exc:
             body, status = answers.error_body(exc), answers.status_of(exc.code)
-            kind, extra = b"application/json", ()
+            kind, extra = b"application/json", []
         headers = [
             (b"content-type", kind),
             (b"content-length", str(len(body)).encode()),
@@ -113,11 +113,11 @@
 
 def _parse(
     headers: Mapping[str, str], service: ids.ServiceId, body: bytes, identity: auth.Identity
-) -> router.Request:
+) -> route_model.Request:
     org = headers.get("x-organisation") or identity.org
     if org is None:
         raise _bad("x-organisation", "is required")
-    return router.Request(
+    return route_model.Request(
         request_id=ids.RequestId(_text(headers, "x-request-id") or secrets.token_hex(8)),
         service=service,
         org=ids.OrgId(org),
--- a/src/bronzequay/cfg/entry.py
+++ b/src/bronzequay/cfg/entry.py
@@ -12,6 +12,9 @@
 
 MAX_SECONDS = 86_400.0
 
+Origins = dict[str, settings.Resolved]
+"""Settings by name, each with its origin."""
+
 DECLARED = (
     settings.Setting(
         name="instance",
@@ -143,7 +146,7 @@
     operator_tokens: str
 
 
-def load() -> tuple[EntryCfg, dict[str, settings.Resolved]]:
+def load() -> tuple[EntryCfg, Origins]:
     """Read the settings of this process.
 
     :return: the typed settings, and each with its origin
@@ -157,4 +160,4 @@
     )
 
 
-__all__ = ["DECLARED", "EntryCfg", "load"]
+__all__ = ["DECLARED", "EntryCfg", "Origins", "load"]
--- a/src/bronzequay/cfg/settings.py
+++ b/src/bronzequay/cfg/settings.py
@@ -18,6 +18,8 @@
 T = TypeVar("T")
 
 ENV_PREFIX = "BRONZEQUAY_"
+CLIENT_VARIABLES = frozenset({"BRONZEQUAY_URL", "BRONZEQUAY_TOKEN"})
+"""Variables of the command line, which may stand beside a daemon's."""
 MASK = "********"
 MAX_PORT = 65_535
 
@@ -163,7 +165,7 @@
     :return: resolved settings by name
     :raises errors.BronzequayError: for a bad, missing or unknown setting
     """
-    known = {setting.variable for setting in declared}
+    known = {setting.variable for setting in declared} | CLIENT_VARIABLES
     for variable in sorted(environ):
         if variable.startswith(ENV_PREFIX) and variable not in known:
             raise errors.BronzequayError(
@@ -247,6 +249,7 @@
 
 
 __all__ = [
+    "CLIENT_VARIABLES",
     "ENV_PREFIX",
     "MASK",
     "MAX_PORT",
--- /dev/null
+++ b/src/bronzequay/cli/bundle_draft.py
@@ -0,0 +1,27 @@
+"""``bronzequay bundle draft``."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+from typing import Annotated
+
+import cappa
+
+from bronzequay.cli import drafts, http, registry
+
+
+@registry.command("draft", group=registry.Group.BUNDLE, description="Submit a bundle as a draft.")
+@dataclasses.dataclass(kw_only=True)
+class DraftBundle(registry.Common):
+    """Options of the command."""
+
+    file: Annotated[pathlib.Path, cappa.Arg(help="the bundle, in TOML")]
+
+    def __call__(self) -> None:
+        """Submit the file and show the draft."""
+        raw = http.call(self, "POST", "/v1/bundles", body=self.file.read_bytes())
+        drafts.show(raw, as_json=self.json)
+
+
+__all__ = ["DraftBundle"]
--- /dev/null
+++ b/src/bronzequay/cli/bundle_history.py
@@ -0,0 +1,35 @@
+"""``bronzequay bundle history``."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+from bronzequay.cfg import rollout
+from bronzequay.cli import http, output, registry
+
+
+class _Versions(msgspec.Struct):
+    versions: tuple[rollout.HeadEntry, ...]
+
+
+@registry.command("history", group=registry.Group.BUNDLE, description="List every version.")
+@dataclasses.dataclass(kw_only=True)
+class History(registry.Common):
+    """Options of the command."""
+
+    def __call__(self) -> None:
+        """List the versions, oldest first."""
+        raw = http.call(self, "GET", "/v1/bundles")
+        if self.json:
+            output.print_json(raw)
+            return
+        rows = [
+            (item.version, output.when(item.at_s), item.author, item.signed_by, item.digest)
+            for item in msgspec.json.decode(raw, type=_Versions).versions
+        ]
+        output.print_table(("VERSION", "AT", "AUTHOR", "SIGNED OFF BY", "DIGEST"), rows)
+
+
+__all__ = ["History"]
--- /dev/null
+++ b/src/bronzequay/cli/job_cancel.py
@@ -0,0 +1,31 @@
+"""``bronzequay job cancel``."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Annotated
+
+import cappa
+import msgspec
+
+from bronzequay.api import jobs
+from bronzequay.cli import http, output, registry
+
+
+@registry.command("cancel", group=registry.Group.JOB, description="Cancel one or many jobs.")
+@dataclasses.dataclass(kw_only=True)
+class Cancel(registry.Common):
+    """Options of the command."""
+
+    jobs: Annotated[list[str], cappa.Arg(num_args=-1, help="the jobs' ids")]
+
+    def __call__(self) -> None:
+        """Cancel the jobs."""
+        raw = http.call(self, "POST", "/v1/jobs/cancel", body=http.encode({"jobs": self.jobs}))
+        if self.json:
+            output.print_json(raw)
+            return
+        output.print_jobs(msgspec.json.decode(raw, type=jobs.JobPage).jobs)
+
+
+__all__ = ["Cancel"]
--- /dev/null
+++ b/src/bronzequay/cli/output.py
@@ -0,0 +1,78 @@
+"""Tables for people and JSON for programs, on standard output."""
+
+from __future__ import annotations
+
+import datetime
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from bronzequay.obs import words
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from bronzequay.policy import model
+
+GAP = "  "
+JOB_COLUMNS = ("JOB", "STATE", "ORGANISATION", "CALLER", "MEMBERS", "ACCELERATORS", "ACCEPTED")
+
+
+def print_json(raw: bytes) -> None:
+    """Print a JSON body indented."""
+    print(msgspec.json.format(raw, indent=2).decode())
+
+
+def print_table(columns: Sequence[str], rows: Iterable[Sequence[object]]) -> None:
+    """Print rows under column heads, aligned."""
+    texts = [tuple(columns), *[tuple(str(cell) for cell in row) for row in rows]]
+    widths = [max(len(row[place]) for row in texts) for place in range(len(columns))]
+    for row in texts:
+        cells = [cell.ljust(width) for cell, width in zip(row, widths, strict=True)]
+        print(GAP.join(cells).rstrip())
+
+
+def print_jobs(records: Iterable[model.JobRecord]) -> None:
+    """Print one line a job."""
+    rows = [
+        (
+            record.job,
+            words.state_words(record.state),
+            record.spec.org,
+            record.spec.caller,
+            record.spec.members,
+            record.spec.members * record.spec.accelerators,
+            when(record.accepted_s),
+        )
+        for record in records
+    ]
+    print_table(JOB_COLUMNS, rows)
+
+
+def print_history(record: model.JobRecord) -> None:
+    """Print one line for each change of a job's state."""
+    rows = [
+        (
+            when(entry.at_s),
+            words.state_words(entry.state),
+            f"{entry.code.value} {entry.code.name}",
+            entry.attempt or "-",
+            entry.bundle,
+            ",".join(entry.workers) or "-",
+            entry.detail or "-",
+        )
+        for entry in record.history
+    ]
+    print_table(("AT", "STATE", "CODE", "ATTEMPT", "BUNDLE", "WORKERS", "DETAIL"), rows)
+
+
+def when(at_s: float) -> str:
+    """Return a moment in UTC, to the second.
+
+    :param at_s: seconds since the Unix epoch
+    """
+    moment = datetime.datetime.fromtimestamp(at_s, tz=datetime.UTC)
+    return moment.strftime("%Y-%m-%d %H:%M:%S")
+
+
+__all__ = ["print_history", "print_jobs", "print_json", "print_table", "when"]
--- /dev/null
+++ b/src/bronzequay/cli/state.py
@@ -0,0 +1,20 @@
+"""``bronzequay state``."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from bronzequay.cli import http, output, registry
+
+
+@registry.command("state", description="Dump the state of one entry instance.")
+@dataclasses.dataclass(kw_only=True)
+class State(registry.Common):
+    """Options of the command."""
+
+    def __call__(self) -> None:
+        """Print the dump as JSON."""
+        output.print_json(http.call(self, "GET", "/v1/state"))
+
+
+__all__ = ["State"]
--- /dev/null
+++ b/src/bronzequay/daemon.py
@@ -0,0 +1,47 @@
+"""The thin daemon of an entry instance: settings in, one nursery out."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import time
+
+import structlog
+import trio
+
+from bronzequay import errors
+from bronzequay.cfg import entry
+from bronzequay.instance import Instance
+from bronzequay.obs import log
+
+EXIT_ERROR = 1
+
+_log = structlog.get_logger()
+
+
+async def run(cfg: entry.EntryCfg, resolved: entry.Origins) -> None:
+    """Run one entry instance until SIGTERM or SIGINT, then drain it.
+
+    :param cfg: the typed settings
+    :param resolved: each setting with its origin, for the state dump
+    """
+    async with Instance(cfg=cfg, resolved=resolved, wall_clock=time.time) as instance:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for number in signals:
+                _log.info("shutdown_started", signal=signal.Signals(number).name)
+                break
+        await instance.shutdown()
+
+
+def main() -> None:
+    """Run ``bronzequay-entry``; expected errors end as one line."""
+    try:
+        cfg, resolved = entry.load()
+        log.configure(level=cfg.log_level, instance=cfg.instance)
+        trio.run(run, cfg, resolved)
+    except errors.BronzequayError as exc:
+        sys.stderr.write(f"bronzequay-entry: {exc}\n")
+        sys.exit(EXIT_ERROR)
+
+
+__all__ = ["main", "run"]
