--- /dev/null
+++ b/src/bronzequay/sched/journal.py
@@ -0,0 +1,216 @@
+"""Durable job records: buckets in the store, fenced by the epoch of the last takeover."""
+
+from __future__ import annotations
+
+import hashlib
+import secrets
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from bronzequay import codes, errors, ids
+from bronzequay.policy import model
+from bronzequay.sched import ports
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterable
+
+BUCKETS = 16
+RETRY_S = 0.25
+ABSENT = ids.Revision(0)
+OWNER_BYTES = 8
+
+
+class Bucket(msgspec.Struct, array_like=True):
+    """Value of a bucket key.
+
+    :param epoch: number of the takeover that wrote it
+    :param owner: random name of that takeover
+    :param write: number of the write within the takeover, to know one's own write again
+    :param jobs: encoded records
+    """
+
+    epoch: ids.Epoch
+    owner: str
+    write: int
+    jobs: dict[ids.JobId, msgspec.Raw]
+
+
+class Slot:
+    """A bucket as last made durable."""
+
+    def __init__(self, key: str, bucket: Bucket, rev: ids.Revision) -> None:
+        self.key = key
+        self.bucket = bucket
+        self.rev = rev
+
+
+_encoder = msgspec.msgpack.Encoder()
+_buckets = msgspec.msgpack.Decoder(Bucket)
+_records = msgspec.msgpack.Decoder(model.JobRecord)
+
+
+def bucket_of(job: ids.JobId) -> int:
+    """Return the number of the bucket that holds a job."""
+    return hashlib.sha256(job.encode()).digest()[0] % BUCKETS
+
+
+def bucket_key(partition: ids.RegionId, number: int) -> str:
+    """Return the store key of a bucket."""
+    return f"part/{partition}/bucket/{number:02}"
+
+
+def decode_record(raw: msgspec.Raw) -> model.JobRecord:
+    """Decode one record of a bucket."""
+    return _records.decode(raw)
+
+
+async def read_bucket(
+    store: ports.Store, partition: ids.RegionId, number: int
+) -> tuple[Bucket, ids.Revision]:
+    """Read one bucket.
+
+    :param store: the platform's service
+    :param partition: the partition
+    :param number: number of the bucket
+    :return: the bucket, empty when absent, and its revision
+    """
+    entry = await store.get(bucket_key(partition, number), purpose=ports.Purpose.READ)
+    if entry is None:
+        return Bucket(ids.Epoch(0), "", 0, {}), ABSENT
+    return _buckets.decode(entry.value), entry.rev
+
+
+class Journal:
+    """The buckets of a partition during one takeover.
+
+    :param store: the platform's service
+    :param partition: the partition
+    """
+
+    def __init__(self, *, store: ports.Store, partition: ids.RegionId) -> None:
+        self._store = store
+        self._partition = partition
+        self._owner = secrets.token_hex(OWNER_BYTES)
+        self._slots: list[Slot] = []
+        self._writes = 0
+        self.epoch = ids.Epoch(0)
+        self.is_blocked = False
+
+    async def take_over(self) -> tuple[model.JobRecord, ...]:
+        """Raise the epoch in every bucket, so that no earlier scheduler can write.
+
+        :return: every record that is not archived
+        :raises errors.BronzequayError: FENCED when another takeover came between
+        """
+        found = [
+            await read_bucket(self._store, self._partition, number) for number in range(BUCKETS)
+        ]
+        self.epoch = ids.Epoch(max(bucket.epoch for bucket, _ in found) + 1)
+        self._slots = [
+            Slot(bucket_key(self._partition, number), bucket, rev)
+            for number, (bucket, rev) in enumerate(found)
+        ]
+        async with trio.open_nursery() as nursery:
+            results = _Results()
+            for slot in self._slots:
+                nursery.start_soon(results.collect, self._write, slot, slot.bucket.jobs)
+        results.check()
+        return tuple(self.records())
+
+    def records(self) -> Iterable[model.JobRecord]:
+        """Decode every durable record."""
+        for slot in self._slots:
+            for raw in slot.bucket.jobs.values():
+                yield decode_record(raw)
+
+    def get(self, job: ids.JobId) -> model.JobRecord | None:
+        """Return the durable record of a job, None when there is none."""
+        if not self._slots:
+            return None
+        raw = self._slots[bucket_of(job)].bucket.jobs.get(job)
+        return None if raw is None else decode_record(raw)
+
+    async def commit(self, records: Iterable[model.JobRecord]) -> None:
+        """Make records durable, one write a bucket; retries until the outcome is known.
+
+        :param records: changed records
+        :raises errors.BronzequayError: FENCED when another scheduler has taken over
+        """
+        changed: dict[int, dict[ids.JobId, msgspec.Raw]] = {}
+        for record in records:
+            raw = msgspec.Raw(_encoder.encode(record))
+            changed.setdefault(bucket_of(record.job), {})[record.job] = raw
+        results = _Results()
+        async with trio.open_nursery() as nursery:
+            for number, jobs in changed.items():
+                slot = self._slots[number]
+                nursery.start_soon(results.collect, self._write, slot, slot.bucket.jobs | jobs)
+        results.check()
+
+    async def _write(self, slot: Slot, jobs: dict[ids.JobId, msgspec.Raw]) -> None:
+        self._writes += 1
+        bucket = Bucket(self.epoch, self._owner, self._writes, jobs)
+        value = _encoder.encode(bucket)
+        while True:
+            rev = await self._try_write(slot, value)
+            if rev is not None:
+                break
+            self.is_blocked = True
+            await trio.sleep(RETRY_S)
+        self.is_blocked = False
+        slot.bucket, slot.rev = bucket, rev
+
+    async def _try_write(self, slot: Slot, value: bytes) -> ids.Revision | None:
+        try:
+            return await self._store.put(
+                slot.key, value, rev=slot.rev, purpose=ports.Purpose.JOURNAL
+            )
+        except errors.BronzequayError as exc:
+            if ports.is_unanswered(exc):
+                return None
+            if exc.code is not codes.ResultCode.STORE_CONFLICT:
+                raise
+        return await self._own_write(slot, value)
+
+    async def _own_write(self, slot: Slot, value: bytes) -> ids.Revision | None:
+        """Return the revision of a write whose answer was lost, None when the store is down."""
+        try:
+            entry = await self._store.get(slot.key, purpose=ports.Purpose.JOURNAL)
+        except errors.BronzequayError as exc:
+            if ports.is_unanswered(exc):
+                return None
+            raise
+        if entry is not None and entry.value == value:
+            return entry.rev
+        message = f"another scheduler wrote {slot.key}"
+        raise errors.BronzequayError(codes.ResultCode.FENCED, message)
+
+
+class _Results:
+    """First error of several concurrent writes."""
+
+    def __init__(self) -> None:
+        self._error: errors.BronzequayError | None = None
+
+    async def collect(self, write: Callable[..., Awaitable[None]], *args: object) -> None:
+        try:
+            await write(*args)
+        except errors.BronzequayError as exc:
+            self._error = exc
+
+    def check(self) -> None:
+        if self._error is not None:
+            raise self._error
+
+
+__all__ = [
+    "BUCKETS",
+    "Bucket",
+    "Journal",
+    "bucket_key",
+    "bucket_of",
+    "decode_record",
+    "read_bucket",
+]
--- /dev/null
+++ b/src/bronzequay/sched/ports.py
@@ -0,0 +1,114 @@
+"""Interfaces of the scheduler's shell to the store and the mesh."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING, Any, Protocol
+
+from bronzequay import codes
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from bronzequay import errors, ids
+
+
+class Purpose(enum.IntEnum):
+    """What a store call is for."""
+
+    JOURNAL = 0
+    LEASE = 3
+    READ = 5
+
+
+class Entry(Protocol):
+    """A key's value and the revision of its last change."""
+
+    @property
+    def key(self) -> str:
+        """Return the key."""
+
+    @property
+    def value(self) -> bytes:
+        """Return the value."""
+
+    @property
+    def rev(self) -> ids.Revision:
+        """Return the revision of the last change."""
+
+
+class InstanceEntry(Protocol):
+    """One line of the platform's lagging list."""
+
+    @property
+    def id(self) -> str:
+        """Return the instance's id."""
+
+    @property
+    def kind(self) -> str:
+        """Return ``entry``, ``worker`` or ``executor``."""
+
+    @property
+    def address(self) -> str:
+        """Return the base URL or mesh address."""
+
+    @property
+    def state(self) -> str:
+        """Return ``live`` or ``leaving``."""
+
+
+class Store(Protocol):
+    """The platform's service, as far as the scheduler needs it."""
+
+    async def get(self, key: str, *, purpose: Any) -> Entry | None:
+        """Read a key, None when absent."""
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        rev: ids.Revision,
+        purpose: Any,
+        lease: ids.LeaseId | None = None,
+    ) -> ids.Revision:
+        """Write a key whose revision is ``rev``."""
+
+    async def grant(self, ttl_s: float) -> ids.LeaseId:
+        """Create a lease."""
+
+    async def renew(self, lease: ids.LeaseId) -> None:
+        """Renew a lease; LEASE_LOST when it has run out."""
+
+    async def revoke(self, lease: ids.LeaseId) -> None:
+        """End a lease and delete the keys bound to it."""
+
+    async def instances(self) -> tuple[Any, ...]:
+        """Read the lagging list of ``InstanceEntry``."""
+
+
+class Mesh(Protocol):
+    """Messages between instances."""
+
+    def serve(self, kind: str, handler: Callable[[bytes], Awaitable[bytes]]) -> None:
+        """Answer calls of a kind."""
+
+    async def call(self, address: str, kind: str, body: bytes, *, timeout_s: float) -> bytes:
+        """Call a peer; PEER_TIMEOUT when the outcome is unknown."""
+
+
+UNANSWERED = frozenset(
+    {
+        codes.ResultCode.STORE_TIMEOUT,
+        codes.ResultCode.STORE_UNAVAILABLE,
+        codes.ResultCode.STORE_BUDGET,
+    }
+)
+
+
+def is_unanswered(exc: errors.BronzequayError) -> bool:
+    """Return whether a store call may have taken effect although it failed."""
+    return exc.code in UNANSWERED
+
+
+__all__ = ["UNANSWERED", "Entry", "InstanceEntry", "Mesh", "Purpose", "Store", "is_unanswered"]
