--- a/src/bronzequay/fakes/platform.py
+++ b/src/bronzequay/fakes/platform.py
@@ -33,6 +33,7 @@
     silent_open: bool = False
     delay_s: float = 0.0
     lose_answers: float = 0.0
+    late_effect_s: float = 0.0
     lag_s: float = 0.0
     watch_cut: bool = False
     writes_per_s: int | None = None
@@ -54,6 +55,7 @@
         self.waiting = 0
         self.changed = trio.Event()
         self.rng = random.Random(SEED)  # noqa: S311  # faults need a seed, not secrecy
+        self.late: list[tuple[float, Callable[[], Awaitable[None]]]] = []
         self.open_conns: set[Any] = set()
         self.silenced: set[Any] = set()
         self._spent: dict[str, tuple[int, int]] = {}
@@ -99,8 +101,12 @@
     held: list[Any] = []
     lost = _is_write(scope) and stand.rng.random() < stand.faults.lose_answers
     replay = await faults.read_body(receive)
+    effect = functools.partial(inner, scope, replay, functools.partial(faults.hold_answer, held))
+    if lost and stand.faults.late_effect_s > 0:
+        stand.late.append((stand.clock() + stand.faults.late_effect_s, effect))
+        await faults.cut(send)
     await trio.sleep(stand.faults.delay_s / 2)
-    await inner(scope, replay, functools.partial(faults.hold_answer, held))
+    await effect()
     await trio.sleep(stand.faults.delay_s / 2)
     if lost:
         await faults.cut(send)
@@ -108,6 +114,13 @@
         await send(message)
 
 
+async def _run_late_effects(stand: Stand) -> None:
+    due = [effect for at_s, effect in stand.late if at_s <= stand.clock()]
+    stand.late = [(at_s, effect) for at_s, effect in stand.late if at_s > stand.clock()]
+    for effect in due:
+        await effect()
+
+
 def _with_faults(stand: Stand, inner: Any) -> Any:
     async def call(scope: Any, receive: Any, send: Any) -> None:
         if scope["type"] != "http" or scope["path"] in CONTROL_PATHS:
@@ -115,6 +128,7 @@
             return
         stand.open_conns.add(tuple(scope["client"]))
         stand.calls[_kind(scope)] += 1
+        await _run_late_effects(stand)
         stand.state.expire()
         if stand.faults.silent:
             stand.silenced.add(tuple(scope["client"]))
