The whole path, thin: entry instances, stand-ins, command line and demo as separate processes

Left: a job too large for the fleet waits instead of being told infeasible, and a failing idempotent job is retried without a bound; both belong to the policy that replaces the first-fit core.

--- a/src/bronzequay/api/jobs.py
+++ b/src/bronzequay/api/jobs.py
@@ -54,15 +54,15 @@
         org = _org_filter(identity, quart.request.args.get("org"))
         state = _state_filter(quart.request.args.get("state"))
         limit = _limit(quart.request.args.get("limit"))
-        records = await deps.gateway.list(org=org, state=state, limit=limit)
-        return answers.json_answer(JobPage(tuple(records)))
+        records = await deps.gateway.list(org=org, state=state)
+        return answers.json_answer(JobPage(records[::-1][:limit]))
 
     @routes.post("/cancel")
     async def cancel() -> quart.Response:
         identity = deps.identify(quart.request)
         body = answers.decode_json(await answers.request_body(), bodies.CancelBody)
         for job in body.jobs:
-            record = await _find(deps, job)
+            record = await deps.gateway.get(job)
             _require_cancel(identity, record)
         records = await deps.gateway.cancel(body.jobs)
         return answers.json_answer(JobPage(tuple(records)))
@@ -70,27 +70,20 @@
     @routes.get("/<job>")
     async def show(job: ids.JobId) -> quart.Response:
         identity = deps.identify(quart.request)
-        record = await _find(deps, job)
+        record = await deps.gateway.get(job)
         auth.require(identity, auth.Right.READ_OWN, org=record.spec.org)
         return answers.json_answer(record)
 
     @routes.get("/<job>/why")
     async def why(job: ids.JobId) -> quart.Response:
         identity = deps.identify(quart.request)
-        record = await _find(deps, job)
+        record = await deps.gateway.get(job)
         auth.require(identity, auth.Right.READ_OWN, org=record.spec.org)
         return answers.json_answer(WhyBody(job, await deps.gateway.why(job)))
 
     return routes
 
 
-async def _find(deps: services.Services, job: ids.JobId) -> model.JobRecord:
-    record: model.JobRecord | None = await deps.gateway.get(job)
-    if record is None:
-        raise errors.BronzequayError(codes.ResultCode.UNKNOWN_JOB, f"no job {job}")
-    return record
-
-
 def _require_cancel(identity: auth.Identity, record: model.JobRecord) -> None:
     right = auth.Right.CANCEL_OWN if identity.org else auth.Right.CANCEL_ALL
     auth.require(identity, right, org=record.spec.org)
--- a/src/bronzequay/api/reports.py
+++ b/src/bronzequay/api/reports.py
@@ -24,7 +24,7 @@
         auth.require(identity, auth.Right.READ_ALL if org is None else auth.Right.READ_OWN, org=org)
         from_s = _moment(args.get("from"), 0.0)
         to_s = _moment(args.get("to"), deps.wall_clock())
-        records = await deps.gateway.list(org=org, state=None, limit=None)
+        records = await deps.gateway.list(org=org)
         return answers.json_answer(report.build(records, from_s=from_s, to_s=to_s))
 
     return routes
--- a/src/bronzequay/demo/drive.py
+++ b/src/bronzequay/demo/drive.py
@@ -6,6 +6,7 @@
 import collections
 import dataclasses
 import itertools
+import sys
 from typing import TYPE_CHECKING, Any
 
 import httpx
@@ -16,7 +17,7 @@
 from bronzequay.policy import model
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Sequence
+    from collections.abc import Iterator, Mapping, Sequence
 
     from bronzequay.demo import trace
 
@@ -27,7 +28,8 @@
 READY_TRIES = 200
 CALL_TIMEOUT_S = 20.0
 SEND_TRIES = 40
-POLL_S = 1.0
+POLL_S = 2.0
+SETTLE_TIMEOUT_S = 120.0
 SETTLED_STATES = model.FINAL_STATES | {model.JobState.INFEASIBLE}
 HTTP_SERVER_ERROR = 500
 
@@ -158,19 +160,31 @@
         self.tally.requests[_answer_kind(answer, body)] += 1
 
     async def wait_settled(self) -> list[model.JobRecord]:
-        """Wait until every job has come to rest, and return the records."""
-        while True:
-            records = [await self._show(job) for job in self.tally.jobs.values()]
-            open_jobs = [item for item in records if item.state not in SETTLED_STATES]
-            if not open_jobs:
-                return records
-            await trio.sleep(POLL_S)
+        """Wait until every job has come to rest, and return the records.
+
+        Gives up after ``SETTLE_TIMEOUT_S`` seconds.
+        """
+        records: list[model.JobRecord] = []
+        with trio.move_on_after(SETTLE_TIMEOUT_S):
+            while True:
+                records = [await self._show(job) for job in self.tally.jobs.values()]
+                states = collections.Counter(item.state.value for item in records)
+                sys.stdout.write(f"jobs: {counts(states)}\n")
+                if all(item.state in SETTLED_STATES for item in records):
+                    break
+                await trio.sleep(POLL_S)
+        return records
 
     async def _show(self, job: ids.JobId) -> model.JobRecord:
         answer = await self.call("GET", f"/v1/jobs/{job}", token=ANALYST)
         return msgspec.json.decode(answer.content, type=model.JobRecord)
 
 
+def counts(tally: Mapping[str, int]) -> str:
+    """Return a tally as one line."""
+    return ", ".join(f"{name} {count}" for name, count in sorted(tally.items()))
+
+
 def _submit_body(job: trace.TraceJob, run: str) -> dict[str, Any]:
     return {
         "organisation": job.org,
@@ -198,4 +212,4 @@
     return "whole" if echo == sent else "wrong answer"
 
 
-__all__ = ["Driver", "Tally"]
+__all__ = ["Driver", "Tally", "counts"]
--- a/src/bronzequay/demo/main.py
+++ b/src/bronzequay/demo/main.py
@@ -44,8 +44,8 @@
             nursery.start_soon(_play, driver, jobs)
             nursery.start_soon(_request, driver, site.service)
         records = await driver.wait_settled()
-        print(f"requests: {_counts(driver.tally.requests)}")
-        print(f"submits by HTTP status: {_counts(driver.tally.submits)}")
+        print(f"requests: {drive.counts(driver.tally.requests)}")
+        print(f"submits by HTTP status: {drive.counts(driver.tally.submits)}")
         answer = await driver.call("GET", "/v1/report", token=drive.ANALYST)
         kept = msgspec.json.decode(answer.content, type=report.Report)
         print(report.as_text(kept))
@@ -63,10 +63,6 @@
     await driver.send_requests(service, count=REQUESTS, interval_s=REQUEST_INTERVAL_S)
 
 
-def _counts(tally: dict[str, int]) -> str:
-    return ", ".join(f"{name}: {count}" for name, count in sorted(tally.items()))
-
-
 def main() -> None:
     """Run the demo."""
     trio.run(_run, cappa.parse(Demo, completion=False))
--- a/src/bronzequay/fakes/worker.py
+++ b/src/bronzequay/fakes/worker.py
@@ -4,7 +4,7 @@
 
 import enum
 import math
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Literal
 
 import msgspec
 import quart
@@ -34,13 +34,14 @@
 
 
 LIVE = frozenset({TaskState.HELD, TaskState.RUNNING})
+OUTCOMES = {"ok": TaskState.OK, "fail": TaskState.FAILED}
 
 
 class Payload(msgspec.Struct, frozen=True):
     """What the stand-in's task does: how long it runs and how it ends."""
 
     actual_s: float = math.inf
-    outcome: str = "ok"
+    outcome: Literal["ok", "fail"] = "ok"
     cpu_used: float = 0.0
     mem_gb_used: float = 0.0
 
@@ -293,7 +294,7 @@
     for at_s, name, state in due:
         if at_s > now_s:
             return
-        _set(worker, at_s, worker.tasks[ids.TaskId(name)], TaskState(state))
+        _set(worker, at_s, worker.tasks[ids.TaskId(name)], OUTCOMES[state])
 
 
 def _due(task: Task) -> tuple[float, str, str]:
--- a/src/bronzequay/instance.py
+++ b/src/bronzequay/instance.py
@@ -8,6 +8,7 @@
 import httpx
 import hypercorn.config
 import hypercorn.trio
+import msgspec
 import structlog
 import trio
 
@@ -82,6 +83,7 @@
             workers=worker_client.WorkerClient(http=self._http),
             rules=self.holder.rules,
             wall_clock=wall_clock,
+            payload=lambda spec: msgspec.json.encode(spec.payload),
         )
         self._deps = services.Services(
             instance=cfg.instance,
