--- a/src/bronzequay/sched/gang.py
+++ b/src/bronzequay/sched/gang.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Awaitable, Callable, Sequence
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import trio
@@ -15,6 +14,9 @@
 from bronzequay.work import client, keeper, tasks
 from bronzequay.work import fleet as fleets
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Sequence
+
 START_TIMEOUT_S = 5.0
 RETRY_S = 0.5
 LAPSE_S = 2 * keeper.TASK_TTL_S + 1.0
--- a/src/bronzequay/sched/gateway.py
+++ b/src/bronzequay/sched/gateway.py
@@ -45,6 +45,7 @@
     job: ids.JobId | None = None
     org: ids.OrgId | None = None
     state: model.JobState | None = None
+    limit: int | None = None
 
 
 _Records = tuple[model.JobRecord, ...]
@@ -137,21 +138,25 @@
         )
 
     async def list(
-        self, *, org: ids.OrgId | None = None, state: model.JobState | None = None
+        self,
+        *,
+        org: ids.OrgId | None = None,
+        state: model.JobState | None = None,
+        limit: int | None = None,
     ) -> _Records:
-        """Return durable records, from the journal when no scheduler answers."""
+        """Return durable records, newest first, from the journal when no scheduler answers."""
 
         async def fallback() -> _Records:
             found: list[model.JobRecord] = []
             for number in range(journal.BUCKETS):
                 bucket, _ = await journal.read_bucket(self._store, self._partition, number)
                 found.extend(journal.decode_record(raw) for raw in bucket.jobs.values())
-            return scheduler.select(found, org=org, state=state)
+            return scheduler.select(found, org=org, state=state, limit=limit)
 
         return await self._query(
             "list",
-            Query(org=org, state=state),
-            lambda: self._scheduler.list(org=org, state=state),
+            Query(org=org, state=state, limit=limit),
+            lambda: self._scheduler.list(org=org, state=state, limit=limit),
             _Records,
             fallback,
         )
@@ -250,7 +255,7 @@
 
     async def _on_list(self, body: bytes) -> bytes:
         call = msgspec.msgpack.decode(body, type=Query)
-        found = await self._scheduler.list(org=call.org, state=call.state)
+        found = await self._scheduler.list(org=call.org, state=call.state, limit=call.limit)
         return msgspec.msgpack.encode(found)
 
     async def _on_why(self, body: bytes) -> bytes:
--- a/src/bronzequay/sched/ports.py
+++ b/src/bronzequay/sched/ports.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import enum
 from typing import TYPE_CHECKING, Any, Protocol
 
 from bronzequay import codes
+from bronzequay.store import purpose as purposes
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -13,12 +13,7 @@
     from bronzequay import errors, ids
 
 
-class Purpose(enum.IntEnum):
-    """What a store call is for."""
-
-    JOURNAL = 0
-    LEASE = 3
-    READ = 5
+Purpose = purposes.Purpose
 
 
 class Entry(Protocol):
--- a/src/bronzequay/sched/scheduler.py
+++ b/src/bronzequay/sched/scheduler.py
@@ -155,15 +155,21 @@
         return _found(self._readable_term().durable.get(job), job)
 
     async def list(
-        self, *, org: ids.OrgId | None = None, state: model.JobState | None = None
+        self,
+        *,
+        org: ids.OrgId | None = None,
+        state: model.JobState | None = None,
+        limit: int | None = None,
     ) -> tuple[model.JobRecord, ...]:
-        """Return durable records in order of acceptance.
+        """Return durable records, newest first.
 
         :param org: only this organisation's
         :param state: only those in this state
+        :param limit: at most this many
         :raises errors.BronzequayError: NO_SCHEDULER
         """
-        return select(self._readable_term().durable.records(), org=org, state=state)
+        records = self._readable_term().durable.records()
+        return select(records, org=org, state=state, limit=limit)
 
     async def why(self, job: ids.JobId) -> str:
         """Explain what a job waits for.
@@ -283,12 +289,14 @@
     *,
     org: ids.OrgId | None,
     state: model.JobState | None,
+    limit: int | None,
 ) -> tuple[model.JobRecord, ...]:
-    """Filter records and put them in order of acceptance.
+    """Filter records and put the newest first.
 
     :param records: any records
     :param org: only this organisation's
     :param state: only those in this state
+    :param limit: at most this many
     :return: the records that match
     """
     found = [
@@ -296,7 +304,8 @@
         for record in records
         if org in (None, record.spec.org) and state in (None, record.state)
     ]
-    return tuple(sorted(found, key=lambda record: (record.accepted_s, record.job)))
+    found.sort(key=lambda record: (record.accepted_s, record.job), reverse=True)
+    return tuple(found[:limit])
 
 
 async def _collect(
