Serve waiting requests by class floor, organisation and caller

Cause: the first-come queue let one caller or class hold every slot: in test_fair a caller with 50 requests kept a small one waiting for all 50. Each class earns its floor of slot time; inside a class the organisation, then the caller with least slot time used goes first, and runs longer than expected are charged afterwards. Room is bounded by what is left, so a newcomer finds some without a scan or an eviction.

--- a/src/bronzequay/route/router.py
+++ b/src/bronzequay/route/router.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import collections
 from typing import TYPE_CHECKING
 
 import trio
 
 from bronzequay import codes, errors
-from bronzequay.route import model, slots
+from bronzequay.route import admission, model, slots
 from bronzequay.work import executor as adapter
 
 if TYPE_CHECKING:
@@ -19,21 +18,11 @@
 
 RETRY_AFTER_S = 1.0
 MAX_ATTEMPTS = 3
-MAX_QUEUED = 1024
 SWEEP_INTERVAL_S = 1.0
 
 Code = codes.ResultCode
 
 
-class Waiting:
-    """A request in the queue."""
-
-    def __init__(self, req: model.Request) -> None:
-        self.req = req
-        self.granted = trio.Event()
-        self.executor: model.Executor | None = None
-
-
 class Router:
     """Requests of one service on one entry instance.
 
@@ -55,7 +44,7 @@
         self._client = client
         self._claims = claims
         self._slots = slots.SlotTable(instances=instances)
-        self._queue: collections.deque[Waiting] = collections.deque()
+        self._admission = admission.Admission(table=self._slots)
         self._in_progress = 0
         self._is_draining = False
         self._idle = trio.Event()
@@ -63,7 +52,7 @@
     def set_executors(self, executors: Sequence[model.Executor]) -> None:
         """Replace the list of executors; requests in progress go on."""
         self._slots.set_executors(executors)
-        self._grant()
+        self._admission.grant()
 
     async def send(self, req: model.Request) -> model.Response:
         """Run a request on an executor and return its whole answer.
@@ -89,7 +78,7 @@
             nursery.start_soon(self._claims.run)
             while True:
                 await trio.sleep(SWEEP_INTERVAL_S)
-                self._grant()
+                self._admission.grant()
 
     async def drain(self) -> None:
         """Refuse new requests and wait until none is in progress."""
@@ -102,7 +91,7 @@
         return {
             "service": self._service,
             "in_progress": self._in_progress,
-            "queued": len(self._queue),
+            "queued": len(self._admission),
             "draining": self._is_draining,
             "executors": self._slots.dump(),
         }
@@ -131,12 +120,12 @@
         doubt: errors.BronzequayError | None = None
         for _ in range(MAX_ATTEMPTS):
             try:
-                target = await self._slot(req, deadline)
+                grant = await self._admission.acquire(req, deadline=deadline)
             except errors.BronzequayError as exc:
                 raise doubt or exc from None
             try:
                 body = await self._client.run(
-                    target.address,
+                    grant.executor.address,
                     request_id=req.request_id,
                     body=req.body,
                     deadline_s=deadline - trio.current_time(),
@@ -148,52 +137,11 @@
                 if not req.idempotent:
                     break
             else:
-                return model.Response(req.request_id, body, target.executor)
+                return model.Response(req.request_id, body, grant.executor.executor)
             finally:
-                self._slots.release(target.executor)
-                self._grant()
+                self._admission.release(grant)
         raise doubt or _refusal(Code.NO_EXECUTOR, "no executor took the request")
 
-    async def _slot(self, req: model.Request, deadline: float) -> model.Executor:
-        if not self._queue:
-            target = self._slots.acquire()
-            if target is not None:
-                await trio.lowlevel.checkpoint_if_cancelled()
-                return target
-        if len(self._queue) >= MAX_QUEUED:
-            raise _refusal(Code.QUEUE_FULL, "the queue is full")
-        return await self._wait(req, deadline)
-
-    async def _wait(self, req: model.Request, deadline: float) -> model.Executor:
-        waiting = Waiting(req)
-        self._queue.append(waiting)
-        try:
-            with trio.move_on_at(deadline):
-                await waiting.granted.wait()
-        except trio.Cancelled:
-            self._withdraw(waiting)
-            raise
-        if waiting.executor is None:
-            self._queue.remove(waiting)
-            raise _refusal(Code.DEADLINE_PASSED, "the deadline passed in the queue")
-        return waiting.executor
-
-    def _withdraw(self, waiting: Waiting) -> None:
-        if waiting.executor is None:
-            self._queue.remove(waiting)
-            return
-        self._slots.release(waiting.executor.executor)
-        self._grant()
-
-    def _grant(self) -> None:
-        while self._queue:
-            target = self._slots.acquire()
-            if target is None:
-                return
-            waiting = self._queue.popleft()
-            waiting.executor = target
-            waiting.granted.set()
-
 
 def _refusal(code: codes.ResultCode, message: str) -> errors.BronzequayError:
     return errors.BronzequayError(code, message, retry_after_s=RETRY_AFTER_S)
--- a/src/bronzequay/route/slots.py
+++ b/src/bronzequay/route/slots.py
@@ -77,6 +77,18 @@
         if slots is not None:
             slots.in_progress -= 1
 
+    def has_free(self) -> bool:
+        """Return whether a request could be sent now."""
+        limit = self.limit()
+        return any(
+            slots.in_progress < limit and slots.executor.state is model.ExecutorState.LIVE
+            for slots in self._table.values()
+        )
+
+    def capacity(self) -> int:
+        """Return the requests that this instance may have in progress at all."""
+        return self.limit() * len(self._table)
+
     def has_live(self) -> bool:
         """Return whether any executor takes new work."""
         return any(
