Share executors' slots by the hints of their answers

Cause: with 64 // 7 connections each, seven instances put up to 63 requests on 8 slots, where the fair queue no longer orders them. Hints are kept. An executor that sends none is used up to the connection limit.

--- a/src/bronzequay/fakes/executor.py
+++ b/src/bronzequay/fakes/executor.py
@@ -58,6 +58,14 @@
         """Return the number of slots in use."""
         return int(self.slots.borrowed_tokens)
 
+    def held(self) -> int:
+        """Return the number of requests that run or wait for a slot."""
+        return self.busy() + self.slots.statistics().tasks_waiting
+
+    def state(self) -> str:
+        """Return the state that the executor reports."""
+        return "leaving" if self.faults.leaving else "live"
+
 
 class Fleet:
     """Executors of one process and the runs they made.
@@ -105,7 +113,6 @@
         fake = _find(fleet, executor)
         if fake.faults.silent:
             await trio.sleep_forever()
-        state = "leaving" if fake.faults.leaving else "live"
         return _json(
             {
                 "executor": fake.executor,
@@ -113,7 +120,7 @@
                 "data_centre": data_centre,
                 "slots": SLOTS,
                 "busy": fake.busy(),
-                "state": state,
+                "state": fake.state(),
             }
         )
 
@@ -203,7 +210,7 @@
         await _wait_for_disconnect(receive)
         return
     if faults.refuse:
-        await _answer(send, 503, request, b"", (b"x-not-run", b"1"))
+        await _answer(fake, send, 503, request, b"", (b"x-not-run", b"1"))
         return
     async with fake.slots:
         fake.max_busy = max(fake.max_busy, fake.busy())
@@ -214,7 +221,7 @@
         await _cut(send)
         return
     if faults.fail:
-        await _answer(send, 500, request, b"")
+        await _answer(fake, send, 500, request, b"")
         return
     answer = {
         "request": request,
@@ -222,7 +229,7 @@
         "executor": fake.executor,
         "runs": fleet.runs[request],
     }
-    await _answer(send, 200, request, msgspec.json.encode(answer))
+    await _answer(fake, send, 200, request, msgspec.json.encode(answer))
 
 
 async def _read_body(receive: Receive) -> bytes:
@@ -256,14 +263,22 @@
     """
     headers = [(b"content-length", b"1")]
     await send({"type": "http.response.start", "status": 500, "headers": headers})
+    raise ConnectionResetError("cut by a fault switch")
 
 
 async def _answer(
-    send: Send, status: int, request: str, body: bytes, *extra: tuple[bytes, bytes]
+    fake: ExecutorFake,
+    send: Send,
+    status: int,
+    request: str,
+    body: bytes,
+    *extra: tuple[bytes, bytes],
 ) -> None:
     headers = [
         (b"content-length", str(len(body)).encode()),
         (b"x-request-id", request.encode("latin-1")),
+        (b"x-busy", str(fake.held()).encode()),
+        (b"x-state", fake.state().encode()),
         *extra,
     ]
     await send({"type": "http.response.start", "status": status, "headers": headers})
--- a/src/bronzequay/route/admission.py
+++ b/src/bronzequay/route/admission.py
@@ -96,8 +96,9 @@
 
     def release(self, grant: Grant) -> None:
         """Give a slot back and let the next request have it."""
-        self._table.release(grant.executor.executor)
-        self._queue.settle(grant.ticket, cost_s=trio.current_time() - grant.since_s)
+        run_s = trio.current_time() - grant.since_s
+        self._table.release(grant.executor.executor, run_s=run_s)
+        self._queue.settle(grant.ticket, cost_s=run_s)
         self.grant()
 
     def grant(self) -> None:
--- a/src/bronzequay/route/ports.py
+++ b/src/bronzequay/route/ports.py
@@ -13,10 +13,10 @@
 class RunClient(Protocol):
     """The part of the executor adapter that the router uses."""
 
-    async def run(
+    async def call(
         self, address: str, *, request_id: ids.RequestId, body: bytes, deadline_s: float
-    ) -> bytes:
-        """Run one request; see ``bronzequay.work.executor.ExecutorClient.run``."""
+    ) -> executor.Answer:
+        """Run one request; see ``bronzequay.work.executor.ExecutorClient.call``."""
         ...
 
     async def describe(self, address: str, *, deadline_s: float = 1.0) -> executor.Description:
--- a/src/bronzequay/route/router.py
+++ b/src/bronzequay/route/router.py
@@ -101,7 +101,7 @@
             raise errors.BronzequayError(Code.UNKNOWN_SERVICE, f"no service {req.service}")
         if req.deadline_s <= 0:
             raise _refusal(Code.DEADLINE_PASSED, "the deadline had passed on arrival")
-        if not self._slots.has_live():
+        if not self._slots.is_open():
             raise _refusal(Code.NO_EXECUTOR, "no executor takes new work")
         if req.idempotent:
             return await self._attempts(req, deadline)
@@ -124,7 +124,7 @@
             except errors.BronzequayError as exc:
                 raise doubt or exc from None
             try:
-                body = await self._client.run(
+                answer = await self._client.call(
                     grant.executor.address,
                     request_id=req.request_id,
                     body=req.body,
@@ -137,7 +137,9 @@
                 if not req.idempotent:
                     break
             else:
-                return model.Response(req.request_id, body, grant.executor.executor)
+                if answer.busy is not None:
+                    self._slots.observe(grant.executor.executor, busy=answer.busy)
+                return model.Response(req.request_id, answer.body, grant.executor.executor)
             finally:
                 self._admission.release(grant)
         raise doubt or _refusal(Code.NO_EXECUTOR, "no executor took the request")
--- a/src/bronzequay/work/executor.py
+++ b/src/bronzequay/work/executor.py
@@ -18,6 +18,10 @@
 NOT_RUN_HEADER = "x-not-run"
 REQUEST_ID_HEADER = "x-request-id"
 DEADLINE_HEADER = "x-deadline-s"
+BUSY_HEADER = "x-busy"
+STATE_HEADER = "x-state"
+LEAVING = "leaving"
+MAX_BUSY_DIGITS = 6
 
 _NEVER_LEFT = (
     httpx.ConnectError,
@@ -27,8 +31,27 @@
 )
 
 
+class Answer(msgspec.Struct, frozen=True):
+    """The whole answer to one request, and what the executor said of itself with it.
+
+    :param busy: requests that the executor still holds; none when it does not say
+    :param is_leaving: whether it takes no new work
+    """
+
+    body: bytes
+    busy: int | None = None
+    is_leaving: bool = False
+
+
 class RunError(errors.BronzequayError):
-    """A run without a usable answer; the subclass says what is known of it."""
+    """A run without a usable answer; the subclass says what is known of it.
+
+    :param is_leaving: whether the executor said that it takes no new work
+    """
+
+    def __init__(self, code: codes.ResultCode, message: str, *, is_leaving: bool = False) -> None:
+        super().__init__(code, message)
+        self.is_leaving = is_leaving
 
 
 class NeverSentError(RunError):
@@ -74,6 +97,13 @@
     async def run(
         self, address: str, *, request_id: ids.RequestId, body: bytes, deadline_s: float
     ) -> bytes:
+        """Run one request and return the bytes of its answer; see ``call``."""
+        answer = await self.call(address, request_id=request_id, body=body, deadline_s=deadline_s)
+        return answer.body
+
+    async def call(
+        self, address: str, *, request_id: ids.RequestId, body: bytes, deadline_s: float
+    ) -> Answer:
         """Run one request and return the answer that carries its id.
 
         The connection is closed when no answer has come by the deadline.
@@ -82,7 +112,7 @@
         :param request_id: unique to this request
         :param body: the caller's bytes
         :param deadline_s: seconds left to the caller
-        :return: the answer's bytes
+        :return: the answer
         :raises NeverSentError: nothing left this process
         :raises RefusedError: the executor did not run it
         :raises FailedError: it ran and failed
@@ -133,27 +163,40 @@
             raise UnknownOutcomeError(codes.ResultCode.OUTCOME_UNKNOWN, _said(exc)) from exc
 
 
-def _checked(answer: httpx.Response, request_id: ids.RequestId) -> bytes:
+def _checked(answer: httpx.Response, request_id: ids.RequestId) -> Answer:
+    is_leaving = answer.headers.get(STATE_HEADER) == LEAVING
     if answer.headers.get(REQUEST_ID_HEADER) != request_id:
         raise UnknownOutcomeError(
             codes.ResultCode.OUTCOME_UNKNOWN, "the answer belongs to another request"
         )
     if answer.status_code == httpx.codes.OK:
-        return answer.content
+        return Answer(answer.content, _busy(answer), is_leaving)
     if answer.headers.get(NOT_RUN_HEADER) == "1":
-        raise RefusedError(codes.ResultCode.NO_EXECUTOR, "the executor refused the request")
+        raise RefusedError(
+            codes.ResultCode.NO_EXECUTOR, "the executor refused the request", is_leaving=is_leaving
+        )
     if answer.status_code == httpx.codes.INTERNAL_SERVER_ERROR:
-        raise FailedError(codes.ResultCode.EXECUTOR_FAILED, "the run failed on the executor")
+        raise FailedError(
+            codes.ResultCode.EXECUTOR_FAILED,
+            "the run failed on the executor",
+            is_leaving=is_leaving,
+        )
     raise UnknownOutcomeError(
         codes.ResultCode.OUTCOME_UNKNOWN, f"the executor answered {answer.status_code}"
     )
 
 
+def _busy(answer: httpx.Response) -> int | None:
+    value = answer.headers.get(BUSY_HEADER, "")
+    return int(value) if value.isdecimal() and len(value) <= MAX_BUSY_DIGITS else None
+
+
 def _said(exc: httpx.HTTPError) -> str:
     return f"{type(exc).__name__}: {exc}" if str(exc) else type(exc).__name__
 
 
 __all__ = [
+    "Answer",
     "Description",
     "ExecutorClient",
     "FailedError",
--- a/tests/fakes/test_executor.py
+++ b/tests/fakes/test_executor.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import httpx
+import pytest
 import trio
 
 from bronzequay import ids
@@ -30,6 +31,7 @@
     http = make_http()
     answer = await post(http, "r1")
     assert answer.headers["x-request-id"] == "r1"
+    assert (answer.headers["x-busy"], answer.headers["x-state"]) == ("0", "live")
     assert answer.json() == {
         "request": "r1",
         "echo_b64": base64.b64encode(b"sack").decode(),
@@ -89,3 +91,30 @@
         await post(http, "r1")
     assert scope.cancelled_caught
     assert (await http.get("/runs")).json() == {}
+
+
+async def test_lost_answer_cuts_the_connection_after_the_run() -> None:
+    http = make_http()
+    await http.put("/faults", json={"lose_answers": 1.0})
+    with pytest.raises(ConnectionResetError):
+        await post(http, "r1")
+    assert (await http.get("/runs")).json() == {"r1": 1}
+
+
+async def test_connections_over_the_limit_are_cut(autojump_clock: trio.abc.Clock) -> None:
+    http = make_http()
+    await http.put("/faults", json={"delay_s": 1.0})
+    cut = 0
+
+    async def send(number: int) -> None:
+        nonlocal cut
+        try:
+            await post(http, f"r{number}")
+        except ConnectionResetError:
+            cut += 1
+
+    async with trio.open_nursery() as nursery:
+        for number in range(65):
+            nursery.start_soon(send, number)
+    assert cut == 1
+    assert len((await http.get("/runs")).json()) == 64
--- a/tests/route/test_router.py
+++ b/tests/route/test_router.py
@@ -22,13 +22,13 @@
         self.delay_s = delay_s
         self.runs: list[ids.RequestId] = []
 
-    async def run(
+    async def call(
         self, address: str, *, request_id: ids.RequestId, body: bytes, deadline_s: float
-    ) -> bytes:
+    ) -> adapter.Answer:
         del address, deadline_s
         self.runs.append(request_id)
         await trio.sleep(self.delay_s)
-        return body
+        return adapter.Answer(body)
 
     async def describe(self, address: str, *, deadline_s: float = 1.0) -> Description:
         del address, deadline_s
--- a/tests/work/test_executor.py
+++ b/tests/work/test_executor.py
@@ -31,6 +31,21 @@
     assert await run(make_client(handler)) == b"out"
 
 
+async def test_answer_says_what_the_executor_holds_and_whether_it_leaves() -> None:
+    headers = {"x-request-id": "r1", "x-busy": "5", "x-state": "leaving"}
+    client = make_client(lambda _req: httpx.Response(200, content=b"out", headers=headers))
+    answer = await client.call("http://x1", request_id=REQUEST, body=b"in", deadline_s=5.0)
+    assert answer == executor.Answer(b"out", busy=5, is_leaving=True)
+
+
+@pytest.mark.parametrize("busy", ["", "-1", "many", "9" * 5000])
+async def test_bad_count_is_taken_for_none(busy: str) -> None:
+    headers = {"x-request-id": "r1", "x-busy": busy}
+    client = make_client(lambda _req: httpx.Response(200, headers=headers))
+    answer = await client.call("http://x1", request_id=REQUEST, body=b"in", deadline_s=5.0)
+    assert answer.busy is None
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "expected"),
     [
