Retry budget, ejection, hedging and executors that leave

An executor that fails or is silent is ejected for a time that doubles, with at most half ejected; one caller's failing runs alone eject nothing. Only what never ran is retried for non-idempotent work, and an attempt with an unknown outcome is never told as not run after a later refusal. Slow idempotent requests are hedged after the 95th percentile, inside the budget. An executor is sent work only within 2 s of its own word that it is live, else it is asked first, so one that leaves gets none after 3 s.

--- a/src/bronzequay/route/admission.py
+++ b/src/bronzequay/route/admission.py
@@ -21,12 +21,12 @@
 class Grant:
     """A slot of an executor, held by one attempt.
 
-    :param ticket: the place in the queue that it was granted for
+    :param ticket: the place in the queue that it was granted for; none for a hedge
     """
 
     __slots__ = ("executor", "since_s", "ticket")
 
-    def __init__(self, executor: model.Executor, ticket: fair.Ticket[_Waiting]) -> None:
+    def __init__(self, executor: model.Executor, ticket: fair.Ticket[_Waiting] | None) -> None:
         self.executor = executor
         self.ticket = ticket
         self.since_s = trio.current_time()
@@ -94,11 +94,20 @@
             )
         return waiting.grant
 
+    def acquire_now(self, *, avoid: Collection[ids.ExecutorId]) -> Grant | None:
+        """Take a slot that no waiting request could use.
+
+        :param avoid: executors to pass over
+        """
+        executor = None if self._queue else self._table.acquire(avoid=avoid)
+        return None if executor is None else Grant(executor, None)
+
     def release(self, grant: Grant) -> None:
         """Give a slot back and let the next request have it."""
         run_s = trio.current_time() - grant.since_s
         self._table.release(grant.executor.executor, run_s=run_s)
-        self._queue.settle(grant.ticket, cost_s=run_s)
+        if grant.ticket is not None:
+            self._queue.settle(grant.ticket, cost_s=run_s)
         self.grant()
 
     def grant(self) -> None:
--- a/src/bronzequay/route/router.py
+++ b/src/bronzequay/route/router.py
@@ -7,18 +7,15 @@
 import trio
 
 from bronzequay import codes, errors
-from bronzequay.route import admission, model, slots
-from bronzequay.work import executor as adapter
+from bronzequay.route import admission, attempts, budget, health, latency, model, probe, slots
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Collection, Sequence
 
     from bronzequay import ids
     from bronzequay.route import ports
 
 RETRY_AFTER_S = 1.0
-MAX_ATTEMPTS = 3
-SWEEP_INTERVAL_S = 1.0
 
 Code = codes.ResultCode
 
@@ -41,18 +38,45 @@
         instances: Callable[[], int],
     ) -> None:
         self._service = service
-        self._client = client
         self._claims = claims
-        self._slots = slots.SlotTable(instances=instances)
-        self._admission = admission.Admission(table=self._slots)
+        self._table = slots.SlotTable(instances=instances)
+        self._gate = admission.Admission(table=self._table)
+        self._records = health.Health(on_change=self._set_closed)
+        self._tokens = budget.RetryBudget()
+        self._recent = latency.Latency()
+        self._prober = probe.Prober(
+            service=service,
+            client=client,
+            table=self._table,
+            records=self._records,
+            waiting=lambda: len(self._gate),
+            active=self._was_active,
+            on_free=self._gate.grant,
+        )
+        self._runner = attempts.Runner(
+            client=client,
+            gate=self._gate,
+            table=self._table,
+            records=self._records,
+            tokens=self._tokens,
+            recent=self._recent,
+            prober=self._prober,
+        )
+        self._sends = 0
+        self._sends_seen = 0
         self._in_progress = 0
         self._is_draining = False
         self._idle = trio.Event()
 
     def set_executors(self, executors: Sequence[model.Executor]) -> None:
         """Replace the list of executors; requests in progress go on."""
-        self._slots.set_executors(executors)
-        self._admission.grant()
+        self._table.set_executors(executors)
+        self._records.set_listed([executor.executor for executor in executors])
+
+    def note_leaving(self, executor: ids.ExecutorId) -> None:
+        """Send no new work to an executor that another source says is leaving."""
+        self._table.note_doubt(executor)
+        self._records.note_leaving(executor)
 
     async def send(self, req: model.Request) -> model.Response:
         """Run a request on an executor and return its whole answer.
@@ -64,6 +88,7 @@
         """
         if self._is_draining:
             raise _refusal(Code.SHUTTING_DOWN, "this instance is shutting down")
+        self._sends += 1
         self._in_progress += 1
         try:
             return await self._send(req, trio.current_time() + req.deadline_s)
@@ -76,9 +101,8 @@
         """Do the background work until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._claims.run)
-            while True:
-                await trio.sleep(SWEEP_INTERVAL_S)
-                self._admission.grant()
+            nursery.start_soon(self._prober.run)
+            nursery.start_soon(self._runner.hedger.run)
 
     async def drain(self) -> None:
         """Refuse new requests and wait until none is in progress."""
@@ -90,10 +114,15 @@
         """Return the state for the operators' dump."""
         return {
             "service": self._service,
+            "sends": self._sends,
             "in_progress": self._in_progress,
-            "queued": len(self._admission),
+            "queued": len(self._gate),
             "draining": self._is_draining,
-            "executors": self._slots.dump(),
+            "retry_tokens": round(self._tokens.tokens(), 2),
+            "hedges": self._runner.hedger.hedges,
+            "p95_s": self._recent.p95_s(),
+            "executors": self._table.dump(),
+            "health": self._records.dump(),
         }
 
     async def _send(self, req: model.Request, deadline: float) -> model.Response:
@@ -101,48 +130,29 @@
             raise errors.BronzequayError(Code.UNKNOWN_SERVICE, f"no service {req.service}")
         if req.deadline_s <= 0:
             raise _refusal(Code.DEADLINE_PASSED, "the deadline had passed on arrival")
-        if not self._slots.is_open():
+        if not self._table.is_open():
             raise _refusal(Code.NO_EXECUTOR, "no executor takes new work")
         if req.idempotent:
-            return await self._attempts(req, deadline)
+            return await self._runner.run(req, deadline=deadline)
         known = await self._claims.claim(req, deadline_s=req.deadline_s)
         if known is not None:
             return known
         try:
-            answer = await self._attempts(req, deadline)
+            answer = await self._runner.run(req, deadline=deadline)
         except errors.BronzequayError as exc:
             self._claims.settle(req, exc)
             raise
         self._claims.settle(req, answer)
         return answer
 
-    async def _attempts(self, req: model.Request, deadline: float) -> model.Response:
-        doubt: errors.BronzequayError | None = None
-        for _ in range(MAX_ATTEMPTS):
-            try:
-                grant = await self._admission.acquire(req, deadline=deadline)
-            except errors.BronzequayError as exc:
-                raise doubt or exc from None
-            try:
-                answer = await self._client.call(
-                    grant.executor.address,
-                    request_id=req.request_id,
-                    body=req.body,
-                    deadline_s=deadline - trio.current_time(),
-                )
-            except (adapter.NeverSentError, adapter.RefusedError):
-                continue
-            except (adapter.FailedError, adapter.UnknownOutcomeError) as exc:
-                doubt = errors.BronzequayError(exc.code, exc.message)
-                if not req.idempotent:
-                    break
-            else:
-                if answer.busy is not None:
-                    self._slots.observe(grant.executor.executor, busy=answer.busy)
-                return model.Response(req.request_id, answer.body, grant.executor.executor)
-            finally:
-                self._admission.release(grant)
-        raise doubt or _refusal(Code.NO_EXECUTOR, "no executor took the request")
+    def _set_closed(self, executors: Collection[ids.ExecutorId]) -> None:
+        self._table.set_closed(executors)
+        self._gate.grant()
+
+    def _was_active(self) -> bool:
+        was_active = self._sends != self._sends_seen
+        self._sends_seen = self._sends
+        return was_active
 
 
 def _refusal(code: codes.ResultCode, message: str) -> errors.BronzequayError:
--- a/src/bronzequay/route/slots.py
+++ b/src/bronzequay/route/slots.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,7 @@
 HINT_TTL_RUNS = 2.0
 RUN_SMOOTHING = 0.05
 INITIAL_RUN_S = 0.05
+HEARD_TTL_S = 2.0
 
 
 class Slots(msgspec.Struct, eq=False):
@@ -33,14 +35,18 @@
 
     :param in_progress: requests of this instance
     :param others: requests of the other instances at ``seen_s``; none before the first hint
-    :param closed: whether it takes no new work, for whatever reason
+    :param heard_s: when it last said that it is live
+    :param is_asked: whether a question about itself is on its way
+    :param is_closed: whether it takes no new work, for whatever reason
     """
 
     executor: model.Executor
     in_progress: int = 0
     others: int | None = None
     seen_s: float = 0.0
-    closed: bool = False
+    heard_s: float = -math.inf
+    is_asked: bool = False
+    is_closed: bool = False
 
 
 class SlotTable:
@@ -84,19 +90,23 @@
     def set_closed(self, executors: Collection[ids.ExecutorId]) -> None:
         """Say which executors take no new work, besides those listed as leaving."""
         for name, slots in self._table.items():
-            slots.closed = name in executors
+            slots.is_closed = name in executors
         self._list_open()
 
     def acquire(self, *, avoid: Collection[ids.ExecutorId] = ()) -> model.Executor | None:
         """Take a slot on the less loaded of two executors drawn at random.
 
+        One that was heard of lately goes before one that must be asked first.
+
         :param avoid: executors to pass over
         :return: the executor, or nothing when none has a free slot
         """
         if not self._open:
             return None
         pair = (self._rng.choice(self._open), self._rng.choice(self._open))
-        chosen = self._least_loaded(pair, avoid) or self._least_loaded(self._open, avoid)
+        chosen = self._best(pair, avoid)
+        if chosen is None or not self._is_heard(chosen):
+            chosen = self._best(self._open, avoid)
         if chosen is None:
             return None
         chosen.in_progress += 1
@@ -113,6 +123,38 @@
         if not slots.in_progress:
             self._gone.pop(executor, None)
 
+    def is_heard(self, executor: ids.ExecutorId) -> bool:
+        """Return whether the executor said lately that it takes new work."""
+        slots = self._table.get(executor)
+        return slots is not None and self._is_heard(slots)
+
+    def note_heard(self, executor: ids.ExecutorId) -> None:
+        """Note that the executor says that it takes new work."""
+        slots = self._table.get(executor)
+        if slots is not None:
+            slots.heard_s = self._clock()
+
+    def note_doubt(self, executor: ids.ExecutorId, *, after_s: float = 0.0) -> None:
+        """Let the executor be asked before its next request.
+
+        :param after_s: do so only if it was not heard of for this long
+        """
+        slots = self._table.get(executor)
+        if slots is not None and slots.heard_s + after_s <= self._clock():
+            slots.heard_s = -math.inf
+
+    def set_asked(self, executor: ids.ExecutorId, *, is_asked: bool) -> None:
+        """Keep new requests from an executor whose answer about itself is awaited."""
+        slots = self._table.get(executor)
+        if slots is not None:
+            slots.is_asked = is_asked
+
+    def unheard(self, limit: int) -> list[model.Executor]:
+        """Return some executors in service that must be asked first, longest unheard first."""
+        silent = [slots for slots in self._open if not self._is_heard(slots)]
+        silent.sort(key=lambda slots: slots.heard_s)
+        return [slots.executor for slots in silent[:limit]]
+
     def observe(self, executor: ids.ExecutorId, *, busy: int) -> None:
         """Take in an executor's answer, before the slot of the answered request is released.
 
@@ -169,7 +211,7 @@
                 "state": slots.executor.state.value,
                 "in_progress": slots.in_progress,
                 "others": slots.others,
-                "closed": slots.closed,
+                "closed": slots.is_closed,
             }
             for name, slots in (self._table | self._gone).items()
         }
@@ -178,12 +220,10 @@
         self._open = [
             slots
             for slots in self._table.values()
-            if not slots.closed and slots.executor.state is model.ExecutorState.LIVE
+            if not slots.is_closed and slots.executor.state is model.ExecutorState.LIVE
         ]
 
-    def _least_loaded(
-        self, candidates: Iterable[Slots], avoid: Collection[ids.ExecutorId]
-    ) -> Slots | None:
+    def _best(self, candidates: Iterable[Slots], avoid: Collection[ids.ExecutorId]) -> Slots | None:
         limit = self.limit()
         now_s = self._clock()
         free = [
@@ -191,9 +231,18 @@
             for slots in candidates
             if self._is_free(slots, limit, now_s) and slots.executor.executor not in avoid
         ]
-        return min(free, key=self._load, default=None)
+        return min(
+            free,
+            key=lambda slots: (now_s - slots.heard_s > HEARD_TTL_S, _load(slots)),
+            default=None,
+        )
+
+    def _is_heard(self, slots: Slots) -> bool:
+        return self._clock() - slots.heard_s <= HEARD_TTL_S
 
     def _is_free(self, slots: Slots, limit: int, now_s: float) -> bool:
+        if slots.is_asked and now_s - slots.heard_s > HEARD_TTL_S:
+            return False
         if slots.in_progress < BASE_SHARE:
             return True
         if slots.in_progress >= limit:
@@ -208,8 +257,9 @@
         ttl_s = max(MIN_HINT_TTL_S, HINT_TTL_RUNS * self._run_s)
         return slots.others is not None and now_s - slots.seen_s < ttl_s
 
-    def _load(self, slots: Slots) -> int:
-        return slots.in_progress + (slots.others or 0)
+
+def _load(slots: Slots) -> int:
+    return slots.in_progress + (slots.others or 0)
 
 
 __all__ = ["MAX_CONNECTIONS", "SLOTS_PER_EXECUTOR", "SlotTable"]
--- a/src/bronzequay/work/executor.py
+++ b/src/bronzequay/work/executor.py
@@ -20,6 +20,7 @@
 DEADLINE_HEADER = "x-deadline-s"
 BUSY_HEADER = "x-busy"
 STATE_HEADER = "x-state"
+LIVE = "live"
 LEAVING = "leaving"
 MAX_BUSY_DIGITS = 6
 
@@ -35,12 +36,12 @@
     """The whole answer to one request, and what the executor said of itself with it.
 
     :param busy: requests that the executor still holds; none when it does not say
-    :param is_leaving: whether it takes no new work
+    :param state: ``live``, ``leaving`` or, when it does not say, none
     """
 
     body: bytes
     busy: int | None = None
-    is_leaving: bool = False
+    state: str | None = None
 
 
 class RunError(errors.BronzequayError):
@@ -70,6 +71,10 @@
     """The request left this process and no answer of its own came back."""
 
 
+class SilentError(UnknownOutcomeError):
+    """The deadline passed without an answer; the connection is closed."""
+
+
 class Description(msgspec.Struct, frozen=True):
     """An executor's account of itself.
 
@@ -123,7 +128,7 @@
         with trio.move_on_after(deadline_s):
             answer = await self._post(f"{address}/v1/run", headers, body, deadline_s)
         if answer is None:
-            raise UnknownOutcomeError(
+            raise SilentError(
                 codes.ResultCode.OUTCOME_UNKNOWN, "the executor did not answer in time"
             )
         return _checked(answer, request_id)
@@ -170,7 +175,7 @@
             codes.ResultCode.OUTCOME_UNKNOWN, "the answer belongs to another request"
         )
     if answer.status_code == httpx.codes.OK:
-        return Answer(answer.content, _busy(answer), is_leaving)
+        return Answer(answer.content, _busy(answer), answer.headers.get(STATE_HEADER))
     if answer.headers.get(NOT_RUN_HEADER) == "1":
         raise RefusedError(
             codes.ResultCode.NO_EXECUTOR, "the executor refused the request", is_leaving=is_leaving
@@ -203,5 +208,6 @@
     "NeverSentError",
     "RefusedError",
     "RunError",
+    "SilentError",
     "UnknownOutcomeError",
 ]
--- a/tests/work/test_executor.py
+++ b/tests/work/test_executor.py
@@ -35,7 +35,7 @@
     headers = {"x-request-id": "r1", "x-busy": "5", "x-state": "leaving"}
     client = make_client(lambda _req: httpx.Response(200, content=b"out", headers=headers))
     answer = await client.call("http://x1", request_id=REQUEST, body=b"in", deadline_s=5.0)
-    assert answer == executor.Answer(b"out", busy=5, is_leaving=True)
+    assert answer == executor.Answer(b"out", busy=5, state="leaving")
 
 
 @pytest.mark.parametrize("busy", ["", "-1", "many", "9" * 5000])
