--- a/src/bronzequay/daemon.py
+++ b/src/bronzequay/daemon.py
@@ -45,3 +45,6 @@
 
 
 __all__ = ["main", "run"]
+
+if __name__ == "__main__":
+    main()
--- a/src/bronzequay/fakes/main.py
+++ b/src/bronzequay/fakes/main.py
@@ -166,3 +166,6 @@
 
 
 __all__ = ["main"]
+
+if __name__ == "__main__":
+    main()
