Cut the scheduler at every effect; learn the end of a member in doubt

Seen failing first in test_gang: a member in doubt whose worker came back was never asked again (waited 300 s); the stop driver now asks until it is told.

--- a/src/bronzequay/fakes/worker.py
+++ b/src/bronzequay/fakes/worker.py
@@ -399,4 +399,4 @@
     "/v1/renew": _renew,
 }
 
-__all__ = ["Faults", "Payload", "TaskState", "Worker", "make_app"]
+__all__ = ["Faults", "Payload", "Task", "TaskState", "Worker", "make_app"]
--- a/src/bronzequay/sched/gang.py
+++ b/src/bronzequay/sched/gang.py
@@ -154,7 +154,8 @@
             nursery.start_soon(_stop_on, shell, gang, worker, mode, silent)
     if silent and _may_be_whole(gang, silent):
         shell.emit(model.GangUnknown(gang.job, gang.number))
-        return
+        for worker in silent:
+            await _learn(shell, gang, worker)
     gang.phase = attempts.Phase.OVER
     if gang.is_whole():
         shell.emit(model.GangFinished(gang.job, gang.number))
@@ -162,6 +163,19 @@
         shell.emit(model.GangStopped(gang.job, gang.number, gang.kept_s()))
 
 
+async def _learn(shell: Shell, gang: attempts.Attempt, worker: ids.WorkerId) -> None:
+    """Wait until a worker tells what became of its members."""
+    names = gang.by_worker[worker]
+    while True:
+        try:
+            statuses = await shell.call(shell.workers.stop, worker, names)
+        except errors.BronzequayError:
+            await trio.sleep(RETRY_S)
+            continue
+        gang.statuses.update({status.task: status for status in statuses})
+        return
+
+
 def _may_be_whole(gang: attempts.Attempt, silent: list[ids.WorkerId]) -> bool:
     """Return whether members that could not be asked may have completed the job."""
     if gang.is_idempotent or not gang.was_released:
--- /dev/null
+++ b/tests/sched/checks.py
@@ -0,0 +1,103 @@
+"""What must hold of the workers' logs and the store's history, whatever failed."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from bronzequay.sched import journal
+from bronzequay.work import tasks
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from tests.sched import harness
+
+    from bronzequay import ids
+    from bronzequay.policy import model
+
+Log = list[dict[str, Any]]
+CLOCK_S = 0.01
+
+
+def check_epochs(fleet: harness.Fleet) -> None:
+    """Epochs of a bucket never fall."""
+    seen: dict[str, int] = {}
+    for key, value in fleet.store.history:
+        if "/bucket/" in key:
+            epoch = msgspec.msgpack.decode(value, type=journal.Bucket).epoch
+            assert epoch >= seen.get(key, 0), key
+            seen[key] = epoch
+
+
+def check_single_release(log: Log, specs: Mapping[ids.JobId, model.JobSpec]) -> None:
+    """No attempt of a non-idempotent job is released after another one was."""
+    released: dict[ids.JobId, set[int]] = collections.defaultdict(set)
+    for entry in log:
+        key = tasks.parse(entry["task"])
+        if entry["event"] == "release" and key is not None:
+            released[key.job].add(key.attempt)
+    for job, spec in specs.items():
+        if not spec.idempotent:
+            assert len(released[job]) <= 1, (job, released[job])
+
+
+def work_spans(log: Log) -> dict[tuple[ids.JobId, int], tuple[float, float]]:
+    """Return from when to when any member of each attempt was running."""
+    spans: dict[tuple[ids.JobId, int], tuple[float, float]] = {}
+    running: set[str] = set()
+    for entry in log:
+        key = tasks.parse(entry["task"])
+        if key is None:
+            continue
+        if entry["event"] == "release":
+            running.add(entry["task"])
+        if entry["task"] in running:
+            since_s, _ = spans.get(key[:2], (entry["at_s"], 0.0))
+            spans[key[:2]] = (since_s, entry["at_s"])
+        if entry["state"] != "running":
+            running.discard(entry["task"])
+    assert not running, f"still running at the end: {running}"
+    return spans
+
+
+def check_spans(log: Log, records: Mapping[ids.JobId, model.JobRecord]) -> None:
+    """Attempts of a job do not overlap, and none works after its job is told to have ended."""
+    last: dict[ids.JobId, float] = {}
+    for (job, attempt), (since_s, until_s) in sorted(work_spans(log).items()):
+        assert since_s >= last.get(job, 0.0), (job, attempt)
+        last[job] = until_s
+        record = records.get(job)
+        if record is not None and record.ended_s is not None:
+            assert until_s <= record.ended_s + CLOCK_S, (job, attempt, until_s, record.ended_s)
+
+
+def partial_s(log: Log, specs: Mapping[ids.JobId, model.JobSpec]) -> float:
+    """Return the longest time that a gang worked while a member was missing or held."""
+    attempts: dict[tuple[ids.JobId, int], Log] = collections.defaultdict(list)
+    for entry in log:
+        key = tasks.parse(entry["task"])
+        if key is not None:
+            attempts[key.job, key.attempt].append(entry)
+    spans = [_partial_span(entries, specs[job].members) for (job, _), entries in attempts.items()]
+    return max(spans, default=0.0)
+
+
+def _partial_span(entries: Iterable[dict[str, Any]], members: int) -> float:
+    states: dict[str, str] = {}
+    since_s: float | None = None
+    longest_s = 0.0
+    for entry in entries:
+        states[entry["task"]] = entry["state"]
+        working = sum(state in ("running", "ok") for state in states.values())
+        is_partial = "running" in states.values() and working < members
+        if since_s is not None:
+            longest_s = max(longest_s, entry["at_s"] - since_s)
+        if not is_partial:
+            since_s = None
+        elif since_s is None:
+            since_s = entry["at_s"]
+    assert since_s is None, "a partial gang works at the end"
+    return longest_s
--- a/tests/sched/harness.py
+++ b/tests/sched/harness.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
+import enum
 import json
 from typing import TYPE_CHECKING, Any
 
 import httpx
+import outcome
 import trio
 
 from bronzequay import codes, errors, ids
@@ -52,6 +55,7 @@
         self.rev = 0
         self.writes = 0
         self.bytes_written = 0
+        self.history: list[tuple[str, bytes]] = []
 
     def expire(self) -> None:
         now_s = trio.current_time()
@@ -78,22 +82,45 @@
         self.rev += 1
         self.writes += 1
         self.bytes_written += len(value)
+        self.history.append((key, value))
         self.entries[key] = (Entry(key, value, ids.Revision(self.rev)), lease)
         return ids.Revision(self.rev)
 
 
+class Cut(enum.Enum):
+    """What befalls an instance at one of its effects on the outside."""
+
+    NONE = "none"
+    CRASH_AFTER = "crash after the effect"
+    CRASH_LATE = "crash, and the effect comes late"
+    LOST = "answer lost after the effect"
+    LATE = "no answer, and the effect comes late"
+    FREEZE = "all calls stand still, then the effect comes"
+
+
+LATE_S = 10.0
+
+
+class CallLostError(Exception):
+    """The caller gets no answer."""
+
+
 class Gate:
-    """What one instance's calls go through: cuts, freezes and lost answers.
+    """What one instance's calls go through: outages, freezes, and a fault at one effect.
 
-    :param on_effect: called before and after each effect; may raise ``Crash`` to cut it
+    :param cut_at: number of the effect to which ``cut`` applies
     """
 
     def __init__(self) -> None:
         self.is_down = False
         self.lose_answers = False
         self.frozen: trio.Event | None = None
-        self.on_effect: Callable[[str, str], Awaitable[None]] | None = None
+        self.cut_at = -1
+        self.cut = Cut.NONE
+        self.kill: Callable[[], None] = lambda: None
+        self.later: trio.Nursery | None = None
         self.calls: list[str] = []
+        self.effects: list[str] = []
 
     def freeze(self) -> None:
         self.frozen = trio.Event()
@@ -107,9 +134,56 @@
         if self.frozen is not None:
             await self.frozen.wait()
 
-    async def point(self, when: str, name: str) -> None:
-        if self.on_effect is not None:
-            await self.on_effect(when, name)
+    async def effect(self, name: str, act: Callable[[], Awaitable[Any]]) -> Any:
+        """Carry out an effect, or what the cut makes of it."""
+        cut = self.cut if len(self.effects) == self.cut_at else Cut.NONE
+        self.effects.append(name)
+        if cut in (Cut.LATE, Cut.CRASH_LATE):
+            assert self.later is not None
+            self.later.start_soon(_late, act)
+        if cut is Cut.CRASH_LATE:
+            await self._crash()
+        if cut is Cut.LATE:
+            raise CallLostError
+        if cut is Cut.FREEZE:
+            answer = await self._freeze(act)
+        else:
+            answer = await act()
+        if cut is Cut.CRASH_AFTER:
+            await self._crash()
+        if cut is Cut.LOST or self.lose_answers:
+            raise CallLostError
+        return answer
+
+    async def _freeze(self, act: Callable[[], Awaitable[Any]]) -> Any:
+        """Stand still for longer than the scheduler's lease; the call goes out all the same."""
+        assert self.later is not None
+        self.freeze()
+        self.later.start_soon(self._thaw)
+        send, receive = trio.open_memory_channel[outcome.Outcome[Any]](1)
+        self.later.start_soon(_late_into, act, send)
+        return (await receive.receive()).unwrap()
+
+    async def _thaw(self) -> None:
+        await trio.sleep(LATE_S)
+        self.resume()
+
+    async def _crash(self) -> None:
+        self.kill()
+        await trio.sleep_forever()
+
+
+async def _late(act: Callable[[], Awaitable[Any]]) -> None:
+    await trio.sleep(LATE_S)
+    with contextlib.suppress(errors.BronzequayError):
+        await act()
+
+
+async def _late_into(
+    act: Callable[[], Awaitable[Any]], send: trio.MemorySendChannel[outcome.Outcome[Any]]
+) -> None:
+    await trio.sleep(LATE_S)
+    send.send_nowait(await outcome.acapture(act))
 
 
 class StoreView:
@@ -120,20 +194,21 @@
         self.gate = gate
 
     async def _call(self, name: str, effect: Callable[[], Any], *, is_write: bool = False) -> Any:
+        async def act() -> Any:
+            await trio.sleep(0.001)
+            self._store.expire()
+            return effect()
+
         await self.gate.wait_thawed()
-        await trio.sleep(0.001)
-        self._store.expire()
+        self.gate.calls.append(name)
         if self.gate.is_down:
+            await trio.sleep(0.001)
             raise store_error(codes.ResultCode.STORE_UNAVAILABLE)
-        if is_write:
-            await self.gate.point("before", name)
-        self.gate.calls.append(name)
-        answer = effect()
-        if is_write:
-            await self.gate.point("after", name)
+        try:
+            answer = await (self.gate.effect(name, act) if is_write else act())
+        except CallLostError:
+            raise store_error(codes.ResultCode.STORE_TIMEOUT) from None
         await self.gate.wait_thawed()
-        if is_write and self.gate.lose_answers:
-            raise store_error(codes.ResultCode.STORE_TIMEOUT)
         return answer
 
     async def get(self, key: str, *, purpose: Any) -> Entry | None:  # noqa: ARG002
@@ -206,17 +281,20 @@
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
         _, _, worker, *rest = request.url.path.split("/")
         name = f"{worker} /{'/'.join(rest)}"
+
+        async def act() -> httpx.Response:
+            return await self._inner.handle_async_request(request)
+
         await self._gate.wait_thawed()
+        self._gate.calls.append(name)
         if worker in self.cut:
             raise httpx.ConnectError("cut")
-        is_command = rest[-1] in COMMANDS
-        if is_command:
-            await self._gate.point("before", name)
-        self._gate.calls.append(name)
-        resp = await self._inner.handle_async_request(request)
-        if is_command:
-            await self._gate.point("after", name)
+        try:
+            resp = await (self._gate.effect(name, act) if rest[-1] in COMMANDS else act())
+        except CallLostError:
+            raise httpx.ReadError("lost") from None
         await self._gate.wait_thawed()
+        assert isinstance(resp, httpx.Response)
         return resp
 
 
@@ -260,6 +338,9 @@
                 entries.extend({**entry, "worker": spec.worker} for entry in resp.json()["log"])
         return sorted(entries, key=lambda entry: float(entry["at_s"]))
 
+    def tasks(self, worker: str) -> dict[ids.TaskId, fake_worker.Task]:
+        return self.hosted[ids.WorkerId(worker)].tasks
+
     def faults(self, worker: str, **switches: Any) -> None:
         self.hosted[ids.WorkerId(worker)].faults = fake_worker.Faults(**switches)
 
@@ -274,6 +355,8 @@
         self.http = httpx.AsyncClient(transport=self.transport)
         self.workers = client.WorkerClient(http=self.http)
         self.scope = trio.CancelScope()
+        self.gate.kill = self.kill
+        self.is_dead = False
         self.scheduler = schedulers.Scheduler(
             partition=PARTITION,
             instance=ids.InstanceId(name),
@@ -290,6 +373,9 @@
             await self.scheduler.run()
 
     def kill(self) -> None:
+        """End the instance without letting it say anything more."""
+        self.is_dead = True
+        self.gate.freeze()
         self.scope.cancel()
 
 
