Store client: write ids, read-back and retries within the caller's deadline

Cause: a write whose answer was lost raised STORE_TIMEOUT although it was in force, and a brief refusal or a store slower than 2 s failed every call. Each value now carries the last eight write ids with the revision each replaced. After an unknown attempt the key is read back: happened, lost the race, still open or unknown. Retries repeat the same write id, so at most one attempt takes effect; they keep to a budget of 0.2 a call and one a second. Ruled out: retrying without the id, which applies a late write twice; looking at the newest id only, which misreads a superseded write. Not proved: a key created, deleted and created again within one call's life whose first creation lands between read-back and retry.

--- a/src/bronzequay/fakes/platform.py
+++ b/src/bronzequay/fakes/platform.py
@@ -198,12 +198,12 @@
 def _add_watch(app: quart_trio.QuartTrio, stand: Stand) -> None:
     async def wait(prefix: str, after: int, until_s: float) -> list[platform_state.Item]:
         while True:
+            while stand.faults.watch_cut:
+                await stand.changed.wait()
             stand.state.expire()
             found = stand.state.changes(prefix, after)
             now = stand.clock()
-            if stand.faults.watch_cut:
-                found = []
-            elif found or now >= until_s:
+            if found or now >= until_s:
                 return found
             pause_s = min(until_s, stand.state.next_expiry_s()) - now
             with trio.move_on_after(max(pause_s, 0.001)):
--- a/src/bronzequay/store/client.py
+++ b/src/bronzequay/store/client.py
@@ -2,130 +2,40 @@
 
 from __future__ import annotations
 
-import base64
-import dataclasses
-import urllib.parse
-from typing import TYPE_CHECKING, Any
-
-import httpx
-import msgspec
-import trio
+import collections
+import functools
+from typing import TYPE_CHECKING, TypeVar
 
 from bronzequay import codes, errors, ids
+from bronzequay.store import entries, history, retry, wire, write
 from bronzequay.store import purpose as purposes
 
 if TYPE_CHECKING:
-    from bronzequay.store import budget as budgets
-
-ATTEMPT_TIMEOUT_S = 2.0
-MAX_VALUE_BYTES = 1_000_000
-ABSENT = ids.Revision(0)
-
-Purpose = purposes.Purpose
-
-_REFUSALS = {
-    409: (codes.ResultCode.STORE_CONFLICT, "another writer changed the key first"),
-    410: (codes.ResultCode.LEASE_LOST, "the lease has run out"),
-    413: (codes.ResultCode.VALUE_TOO_LARGE, "the value is over 1 MB"),
-    429: (codes.ResultCode.STORE_BUDGET, "the platform's call budget is spent"),
-    503: (codes.ResultCode.STORE_UNAVAILABLE, "the platform's service refuses calls"),
-}
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Entry:
-    """A key's value at a revision."""
-
-    key: str
-    value: bytes
-    rev: ids.Revision
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class InstanceEntry:
-    """A line of the platform's lagging list of instances.
-
-    :param kind: ``entry``, ``worker`` or ``executor``
-    :param state: ``live`` or ``leaving``
-    """
-
-    id: ids.InstanceId
-    kind: str
-    address: str
-    data_centre: ids.DataCentreId
-    state: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Change:
-    """A key's newest change; ``value`` is None for a deletion."""
-
-    key: str
-    value: bytes | None
-    rev: ids.Revision
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Changes:
-    """An answer of a watch, complete up to the store-wide revision ``rev``."""
-
-    rev: ids.Revision
-    changes: tuple[Change, ...]
-
-
-class _Item(msgspec.Struct):
-    key: str
-    rev: int
-    value_b64: str | None
-
-
-class _Items(msgspec.Struct):
-    rev: int
-    items: list[_Item]
-
-
-class _Events(msgspec.Struct):
-    rev: int
-    events: list[_Item]
-
-
-class _Rev(msgspec.Struct):
-    rev: int
-
-
-class _Granted(msgspec.Struct):
-    lease: str
-
+    from collections.abc import Awaitable, Callable
 
-class _Instance(msgspec.Struct):
-    id: str
-    kind: str
-    address: str
-    data_centre: str
-    state: str
-
-
-class _Instances(msgspec.Struct):
-    instances: list[_Instance]
-
-
-def _path(key: str) -> str:
-    return f"/v1/kv/{urllib.parse.quote(key)}"
+    import httpx
 
+    from bronzequay.store import budget as budgets
 
-def _refusal(status: int, key: str) -> errors.BronzequayError:
-    code, text = _REFUSALS.get(status, (codes.ResultCode.INTERNAL, f"answered HTTP {status}"))
-    return errors.BronzequayError(code, f"{text}: {key}")
+T = TypeVar("T")
 
+PLATFORM_MAX_BYTES = 1_000_000
+MAX_VALUE_BYTES = PLATFORM_MAX_BYTES - history.MAX_HEADER_BYTES
+KEPT_HISTORIES = 4096
 
-def _change(item: _Item) -> Change:
-    value = None if item.value_b64 is None else base64.b64decode(item.value_b64)
-    return Change(key=item.key, value=value, rev=ids.Revision(item.rev))
+ABSENT = entries.ABSENT
+Change = entries.Change
+Changes = entries.Changes
+Entry = entries.Entry
+InstanceEntry = entries.InstanceEntry
+Purpose = purposes.Purpose
 
 
 class Store:
     """Reads and compare-and-swap writes of the platform's keys.
 
+    Every call ends by the caller's deadline, or after 12 s.
+
     :param base_url: the service's URL
     :param instance: this instance
     :param http: the client to call through
@@ -140,10 +50,12 @@
         http: httpx.AsyncClient,
         budget: budgets.Budget | None = None,
     ) -> None:
-        self._base_url = base_url.rstrip("/")
-        self._instance = instance
-        self._http = http
-        self._budget = budget
+        self.instance = instance
+        self._wire = wire.Wire(base_url=base_url, http=http, budget=budget)
+        self._retries: retry.RetryBudget | None = None
+        self._histories: collections.OrderedDict[
+            str, tuple[ids.Revision, tuple[history.Step, ...]]
+        ] = collections.OrderedDict()
 
     async def get(self, key: str, *, purpose: Purpose) -> Entry | None:
         """Read a key.
@@ -151,11 +63,11 @@
         :return: the entry, or None when the key is absent
         :raises BronzequayError: STORE_TIMEOUT, STORE_UNAVAILABLE or STORE_BUDGET
         """
-        resp = await self._call("GET", _path(key), key, purpose=purpose, accept=(200, 404))
-        if resp.status_code == httpx.codes.NOT_FOUND:
+        record = await self._retry(functools.partial(self._wire.get, key), key, purpose)
+        self._remember(record)
+        if record.value is None:
             return None
-        rev = ids.Revision(int(resp.headers["x-revision"]))
-        return Entry(key=key, value=resp.content, rev=rev)
+        return Entry(key=key, value=record.value, rev=record.rev)
 
     async def put(
         self,
@@ -168,124 +80,162 @@
     ) -> ids.Revision:
         """Write a key if its revision is still ``rev`` (0: absent).
 
+        :param value: at most ``MAX_VALUE_BYTES``
         :param lease: the key goes when this lease ends
-        :return: the new revision
+        :return: the revision of this write, also if others have written since
         :raises BronzequayError: STORE_CONFLICT, LEASE_LOST, VALUE_TOO_LARGE, STORE_UNAVAILABLE
             and STORE_BUDGET: not written; STORE_TIMEOUT: unknown
         """
         if len(value) > MAX_VALUE_BYTES:
-            raise _refusal(413, key)
-        params: dict[str, Any] = {"rev": rev}
-        if lease is not None:
-            params["lease"] = lease
-        resp = await self._call(
-            "PUT", _path(key), key, purpose=purpose, params=params, content=value
-        )
-        return ids.Revision(msgspec.json.decode(resp.content, type=_Rev).rev)
+            raise wire.refusal(413, key)
+        tries = self._tries()
+        call = wire.Call(subject=key, purpose=purpose, deadline_s=tries.deadline_s)
+        steps = await self._steps(key, rev, call)
+        step = history.new_step(rev)
+        data = history.encode((*steps, step), value)
+
+        async def attempt(call: wire.Call) -> ids.Revision:
+            return await self._wire.put(key, data, rev=rev, lease=lease, call=call)
+
+        new_rev = await self._write(attempt, key, step, tries, call).run()
+        self._keep(key, new_rev, (*steps, step))
+        return new_rev
 
     async def delete(self, key: str, *, rev: ids.Revision, purpose: Purpose) -> None:
-        """Delete a key if its revision is still ``rev``."""
-        await self._call(
-            "DELETE", _path(key), key, purpose=purpose, params={"rev": rev}, accept=(200, 404)
-        )
+        """Delete a key if its revision is still ``rev``; an absent key is left so.
+
+        :raises BronzequayError: STORE_CONFLICT, STORE_UNAVAILABLE and STORE_BUDGET: not
+            deleted; STORE_TIMEOUT: unknown
+        """
+        tries = self._tries()
+        call = wire.Call(subject=key, purpose=purpose, deadline_s=tries.deadline_s)
+
+        async def attempt(call: wire.Call) -> ids.Revision:
+            await self._wire.delete(key, rev=rev, call=call)
+            return ABSENT
+
+        step = history.new_step(rev)
+        await self._write(attempt, key, step, tries, call, is_deletion=True).run()
+        self._histories.pop(key, None)
 
     async def range(self, prefix: str, *, purpose: Purpose) -> tuple[Entry, ...]:
         """Read all keys under a prefix, sorted by key."""
-        resp = await self._call(
-            "GET", "/v1/range", prefix, purpose=purpose, params={"prefix": prefix}
-        )
-        items = msgspec.json.decode(resp.content, type=_Items).items
-        changes = [_change(item) for item in items]
+        fetch = functools.partial(self._wire.range, prefix)
+        records = await self._retry(fetch, prefix, purpose)
+        for record in records:
+            self._remember(record)
         return tuple(
-            Entry(key=change.key, value=change.value or b"", rev=change.rev) for change in changes
+            Entry(key=record.key, value=record.value, rev=record.rev)
+            for record in records
+            if record.value is not None
         )
 
     async def changes(self, prefix: str, *, after: ids.Revision, wait_s: float) -> Changes:
-        """Wait for changes of the keys under a prefix: one long poll.
+        """Wait for changes of the keys under a prefix: one long poll, not retried.
 
         :param after: the store-wide revision seen last
         :param wait_s: seconds after which the service answers without changes
         """
-        params = {"prefix": prefix, "after": after, "wait_s": wait_s}
-        resp = await self._call(
-            "GET",
-            "/v1/watch",
-            prefix,
-            purpose=Purpose.WATCH,
-            params=params,
-            timeout_s=wait_s + ATTEMPT_TIMEOUT_S,
-        )
-        answer = msgspec.json.decode(resp.content, type=_Events)
-        found = tuple(_change(item) for item in answer.events)
-        return Changes(rev=ids.Revision(answer.rev), changes=found)
+        deadline_s = self._tries(extra_s=wait_s).deadline_s
+        call = wire.Call(subject=prefix, purpose=Purpose.WATCH, deadline_s=deadline_s)
+        rev, records = await self._wire.watch(prefix, after=after, wait_s=wait_s, call=call)
+        for record in records:
+            self._remember(record)
+        found = tuple(Change(key=each.key, value=each.value, rev=each.rev) for each in records)
+        return Changes(rev=rev, changes=found)
 
     async def grant(self, ttl_s: float) -> ids.LeaseId:
         """Make a lease that runs out ``ttl_s`` seconds after its last renewal."""
-        resp = await self._call(
-            "POST", "/v1/lease", "lease", purpose=Purpose.LEASE, params={"ttl_s": ttl_s}
-        )
-        return ids.LeaseId(msgspec.json.decode(resp.content, type=_Granted).lease)
+        fetch = functools.partial(self._wire.grant, ttl_s)
+        return await self._retry(fetch, "lease", Purpose.LEASE)
 
     async def renew(self, lease: ids.LeaseId) -> None:
         """Renew a lease.
 
         :raises BronzequayError: LEASE_LOST when it has run out
         """
-        await self._call("POST", f"/v1/lease/{lease}/renew", lease, purpose=Purpose.LEASE)
+        await self._retry(functools.partial(self._wire.renew, lease), lease, Purpose.LEASE)
 
     async def revoke(self, lease: ids.LeaseId) -> None:
         """End a lease; its keys go at once."""
-        await self._call("DELETE", f"/v1/lease/{lease}", lease, purpose=Purpose.LEASE)
+        await self._retry(functools.partial(self._wire.revoke, lease), lease, Purpose.LEASE)
 
     async def instances(self) -> tuple[InstanceEntry, ...]:
         """Read the platform's lagging list of instances."""
-        resp = await self._call("GET", "/v1/instances", "instances", purpose=Purpose.MEMBERSHIP)
-        lines = msgspec.json.decode(resp.content, type=_Instances).instances
-        return tuple(
-            InstanceEntry(
-                id=ids.InstanceId(line.id),
-                kind=line.kind,
-                address=line.address,
-                data_centre=ids.DataCentreId(line.data_centre),
-                state=line.state,
-            )
-            for line in lines
-        )
+        return await self._retry(self._wire.instances, "instances", Purpose.MEMBERSHIP)
 
-    async def _call(
+    def _tries(self, *, extra_s: float = 0.0) -> retry.Tries:
+        if self._retries is None:
+            self._retries = retry.RetryBudget()
+        return retry.Tries(self._retries, timeout_s=retry.CALL_TIMEOUT_S + extra_s)
+
+    def _write(
         self,
-        method: str,
-        path: str,
-        subject: str,
+        attempt: Callable[[wire.Call], Awaitable[ids.Revision]],
+        key: str,
+        step: history.Step,
+        tries: retry.Tries,
+        call: wire.Call,
         *,
-        purpose: Purpose,
-        params: dict[str, Any] | None = None,
-        content: bytes | None = None,
-        accept: tuple[int, ...] = (200,),
-        timeout_s: float = ATTEMPT_TIMEOUT_S,
-    ) -> httpx.Response:
-        if self._budget is not None:
-            await self._budget.acquire(purpose)
-        try:
-            with trio.fail_after(timeout_s):
-                resp = await self._http.request(
-                    method, self._base_url + path, params=params, content=content, timeout=None
-                )
-        except httpx.ConnectError as exc:
-            raise errors.BronzequayError(
-                codes.ResultCode.STORE_UNAVAILABLE, f"no connection to the platform: {subject}"
-            ) from exc
-        except (httpx.TransportError, trio.TooSlowError) as exc:
+        is_deletion: bool = False,
+    ) -> write.Write:
+        return write.Write(
+            attempt,
+            wires=self._wire,
+            key=key,
+            step=step,
+            tries=tries,
+            call=call,
+            is_deletion=is_deletion,
+        )
+
+    async def _retry(
+        self, fetch: Callable[[wire.Call], Awaitable[T]], subject: str, purpose: Purpose
+    ) -> T:
+        """Repeat a call whose repetition does no harm."""
+        tries = self._tries()
+        call = wire.Call(subject=subject, purpose=purpose, deadline_s=tries.deadline_s)
+        while True:
+            try:
+                return await fetch(call)
+            except errors.BronzequayError as exc:
+                if not write.is_retried(exc):
+                    raise
+                await tries.pause(exc)
+
+    async def _steps(
+        self, key: str, rev: ids.Revision, call: wire.Call
+    ) -> tuple[history.Step, ...]:
+        """Return the steps that led to a revision, read if they are not known."""
+        if rev == ABSENT:
+            return ()
+        known = self._histories.get(key)
+        if known is None or known[0] != rev:
+            fetch = functools.partial(self._wire.get, key)
+            self._remember(await self._retry(fetch, key, call.purpose))
+            known = self._histories.get(key)
+        if known is None or known[0] != rev:
             raise errors.BronzequayError(
-                codes.ResultCode.STORE_TIMEOUT, f"no answer, the outcome is unknown: {subject}"
-            ) from exc
-        if resp.status_code not in accept:
-            raise _refusal(resp.status_code, subject)
-        return resp
+                codes.ResultCode.STORE_CONFLICT, f"another writer changed the key first: {key}"
+            )
+        return known[1]
+
+    def _remember(self, record: entries.Record) -> None:
+        if record.value is None:
+            self._histories.pop(record.key, None)
+            return
+        self._keep(record.key, record.rev, record.steps)
+
+    def _keep(self, key: str, rev: ids.Revision, steps: tuple[history.Step, ...]) -> None:
+        self._histories[key] = (rev, steps[-history.KEPT_STEPS :])
+        self._histories.move_to_end(key)
+        if len(self._histories) > KEPT_HISTORIES:
+            self._histories.popitem(last=False)
 
 
 __all__ = [
     "ABSENT",
+    "MAX_VALUE_BYTES",
     "Change",
     "Changes",
     "Entry",
--- /dev/null
+++ b/src/bronzequay/store/wire.py
@@ -0,0 +1,238 @@
+"""Single attempts of the platform's calls; docs/reference/platform.md is the protocol."""
+
+from __future__ import annotations
+
+import base64
+import dataclasses
+import urllib.parse
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import httpx
+import msgspec
+import trio
+
+from bronzequay import codes, errors, ids
+from bronzequay.store import entries, history, retry
+from bronzequay.store import purpose as purposes
+
+if TYPE_CHECKING:
+    from bronzequay.store import budget as budgets
+
+T = TypeVar("T")
+
+_REFUSALS = {
+    409: (codes.ResultCode.STORE_CONFLICT, "another writer changed the key first"),
+    410: (codes.ResultCode.LEASE_LOST, "the lease has run out"),
+    413: (codes.ResultCode.VALUE_TOO_LARGE, "the value is over 1 MB"),
+    429: (codes.ResultCode.STORE_BUDGET, "the platform's call budget is spent"),
+    503: (codes.ResultCode.STORE_UNAVAILABLE, "the platform's service refuses calls"),
+}
+
+
+class _Item(msgspec.Struct):
+    key: str
+    rev: int
+    value_b64: str | None
+
+
+class _Items(msgspec.Struct):
+    rev: int
+    items: list[_Item]
+
+
+class _Events(msgspec.Struct):
+    rev: int
+    events: list[_Item]
+
+
+class _Rev(msgspec.Struct):
+    rev: int
+
+
+class _Granted(msgspec.Struct):
+    lease: str
+
+
+class _Instance(msgspec.Struct):
+    id: str
+    kind: str
+    address: str
+    data_centre: str
+    state: str
+
+
+class _Instances(msgspec.Struct):
+    instances: list[_Instance]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """Who calls for what: a call's subject for messages, its purpose and its deadline."""
+
+    subject: str
+    purpose: purposes.Purpose
+    deadline_s: float
+
+
+def refusal(status: int, subject: str) -> errors.BronzequayError:
+    """Return the error that an HTTP status stands for."""
+    code, text = _REFUSALS.get(status, (codes.ResultCode.INTERNAL, f"answered HTTP {status}"))
+    return errors.BronzequayError(code, f"{text}: {subject}")
+
+
+def _path(key: str) -> str:
+    return f"/v1/kv/{urllib.parse.quote(key)}"
+
+
+def _decode(resp: httpx.Response, form: type[T]) -> T:
+    try:
+        return msgspec.json.decode(resp.content, type=form)
+    except msgspec.MsgspecError as exc:
+        raise errors.BronzequayError(
+            codes.ResultCode.INTERNAL, f"unreadable answer of the platform: {exc}"
+        ) from exc
+
+
+def _record(item: _Item) -> entries.Record:
+    rev = ids.Revision(item.rev)
+    if item.value_b64 is None:
+        return entries.Record(key=item.key, rev=rev, steps=(), value=None)
+    steps, value = history.decode(base64.b64decode(item.value_b64))
+    return entries.Record(key=item.key, rev=rev, steps=steps, value=value)
+
+
+class Wire:
+    """Makes single attempts; the outcome of a write is in the error's code.
+
+    STORE_TIMEOUT is the only error after which a write may have taken effect, now or
+    later.
+
+    :param base_url: the service's URL
+    :param http: the client to call through
+    :param budget: limits the calls; none is kept when left out
+    """
+
+    def __init__(
+        self, *, base_url: str, http: httpx.AsyncClient, budget: budgets.Budget | None
+    ) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._http = http
+        self._budget = budget
+        self._timeout = retry.AttemptTimeout()
+        self.seen_rev = ids.Revision(0)
+
+    async def get(self, key: str, call: Call) -> entries.Record:
+        """Read a key; an absent one has revision 0."""
+        resp = await self._attempt("GET", _path(key), call, accept=(200, 404))
+        if resp.status_code == httpx.codes.NOT_FOUND:
+            return entries.Record(key=key, rev=entries.ABSENT, steps=(), value=None)
+        steps, value = history.decode(resp.content)
+        rev = self._see(int(resp.headers["x-revision"]))
+        return entries.Record(key=key, rev=rev, steps=steps, value=value)
+
+    async def put(
+        self, key: str, data: bytes, *, rev: ids.Revision, lease: ids.LeaseId | None, call: Call
+    ) -> ids.Revision:
+        """Write a key's stored bytes if its revision is ``rev``."""
+        params: dict[str, Any] = {"rev": rev}
+        if lease is not None:
+            params["lease"] = lease
+        resp = await self._attempt("PUT", _path(key), call, params=params, content=data)
+        return self._see(_decode(resp, _Rev).rev)
+
+    async def delete(self, key: str, *, rev: ids.Revision, call: Call) -> None:
+        """Delete a key if its revision is ``rev``; an absent one stays so."""
+        params = {"rev": rev}
+        await self._attempt("DELETE", _path(key), call, params=params, accept=(200, 404))
+
+    async def range(self, prefix: str, call: Call) -> tuple[entries.Record, ...]:
+        """Read all keys under a prefix."""
+        resp = await self._attempt("GET", "/v1/range", call, params={"prefix": prefix})
+        return tuple(_record(item) for item in _decode(resp, _Items).items)
+
+    async def watch(
+        self, prefix: str, *, after: ids.Revision, wait_s: float, call: Call
+    ) -> tuple[ids.Revision, tuple[entries.Record, ...]]:
+        """Wait for changes under a prefix.
+
+        :return: the store-wide revision and each changed key's newest record
+        """
+        params = {"prefix": prefix, "after": after, "wait_s": wait_s}
+        resp = await self._attempt("GET", "/v1/watch", call, params=params, extra_s=wait_s)
+        answer = _decode(resp, _Events)
+        return ids.Revision(answer.rev), tuple(_record(item) for item in answer.events)
+
+    async def grant(self, ttl_s: float, call: Call) -> ids.LeaseId:
+        """Make a lease."""
+        resp = await self._attempt("POST", "/v1/lease", call, params={"ttl_s": ttl_s})
+        return ids.LeaseId(_decode(resp, _Granted).lease)
+
+    async def renew(self, lease: ids.LeaseId, call: Call) -> None:
+        """Renew a lease."""
+        await self._attempt("POST", f"/v1/lease/{lease}/renew", call)
+
+    async def revoke(self, lease: ids.LeaseId, call: Call) -> None:
+        """End a lease."""
+        await self._attempt("DELETE", f"/v1/lease/{lease}", call)
+
+    async def instances(self, call: Call) -> tuple[entries.InstanceEntry, ...]:
+        """Read the lagging list of instances."""
+        resp = await self._attempt("GET", "/v1/instances", call)
+        return tuple(
+            entries.InstanceEntry(
+                id=ids.InstanceId(line.id),
+                kind=line.kind,
+                address=line.address,
+                data_centre=ids.DataCentreId(line.data_centre),
+                state=line.state,
+            )
+            for line in _decode(resp, _Instances).instances
+        )
+
+    def _see(self, rev: int) -> ids.Revision:
+        self.seen_rev = max(self.seen_rev, ids.Revision(rev))
+        return ids.Revision(rev)
+
+    async def _attempt(
+        self,
+        method: str,
+        path: str,
+        call: Call,
+        *,
+        params: dict[str, Any] | None = None,
+        content: bytes | None = None,
+        accept: tuple[int, ...] = (200,),
+        extra_s: float = 0.0,
+    ) -> httpx.Response:
+        if self._budget is not None:
+            await self._budget.acquire(call.purpose)
+        started_s = trio.current_time()
+        limit_s = min(call.deadline_s, started_s + self._timeout.timeout_s + extra_s)
+        try:
+            with trio.fail_at(limit_s):
+                resp = await self._http.request(
+                    method, self._base_url + path, params=params, content=content, timeout=None
+                )
+        except httpx.ConnectError as exc:
+            raise errors.BronzequayError(
+                codes.ResultCode.STORE_UNAVAILABLE, f"no connection to the platform: {call.subject}"
+            ) from exc
+        except (httpx.TransportError, trio.TooSlowError) as exc:
+            if isinstance(exc, trio.TooSlowError):
+                self._timeout.on_timeout()
+            raise unknown(call.subject) from exc
+        if not extra_s:
+            self._timeout.on_answer(trio.current_time() - started_s)
+        if resp.status_code not in accept:
+            raise refusal(resp.status_code, call.subject)
+        return resp
+
+
+def unknown(subject: str) -> errors.BronzequayError:
+    """Return the error of a call whose outcome is not known."""
+    return errors.BronzequayError(
+        codes.ResultCode.STORE_TIMEOUT, f"no answer, the outcome is unknown: {subject}"
+    )
+
+
+__all__ = ["Call", "Wire", "refusal", "unknown"]
--- a/tests/store/conftest.py
+++ b/tests/store/conftest.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import httpx
 import pytest
 
@@ -7,6 +9,9 @@
 from bronzequay.fakes import platform, serve
 from bronzequay.store import client
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 BASE_URL = "http://platform"
 
 
@@ -23,5 +28,13 @@
 
 
 @pytest.fixture
-def store(http: httpx.AsyncClient) -> client.Store:
-    return client.Store(base_url=BASE_URL, instance=ids.InstanceId("entry-1"), http=http)
+def new_store(http: httpx.AsyncClient) -> Callable[[str], client.Store]:
+    def make(instance: str) -> client.Store:
+        return client.Store(base_url=BASE_URL, instance=ids.InstanceId(instance), http=http)
+
+    return make
+
+
+@pytest.fixture
+def store(new_store: Callable[[str], client.Store]) -> client.Store:
+    return new_store("entry-1")
