--- a/src/bronzequay/store/client.py
+++ b/src/bronzequay/store/client.py
@@ -57,6 +57,10 @@
             str, tuple[ids.Revision, tuple[history.Step, ...]]
         ] = collections.OrderedDict()
 
+    def use_budget(self, budget: budgets.Budget) -> None:
+        """Limit the calls from now on."""
+        self._wire.budget = budget
+
     async def get(self, key: str, *, purpose: Purpose) -> Entry | None:
         """Read a key.
 
--- a/src/bronzequay/store/wire.py
+++ b/src/bronzequay/store/wire.py
@@ -117,7 +117,7 @@
     ) -> None:
         self._base_url = base_url.rstrip("/")
         self._http = http
-        self._budget = budget
+        self.budget = budget
         self._timeout = retry.AttemptTimeout()
         self.seen_rev = ids.Revision(0)
 
@@ -204,8 +204,9 @@
         accept: tuple[int, ...] = (200,),
         extra_s: float = 0.0,
     ) -> httpx.Response:
-        if self._budget is not None:
-            await self._budget.acquire(call.purpose)
+        is_write = method != "GET"
+        if self.budget is not None:
+            await self.budget.acquire(call.purpose, is_write=is_write, deadline_s=call.deadline_s)
         started_s = trio.current_time()
         limit_s = min(call.deadline_s, started_s + self._timeout.timeout_s + extra_s)
         try:
@@ -223,6 +224,8 @@
             raise unknown(call.subject) from exc
         if not extra_s:
             self._timeout.on_answer(trio.current_time() - started_s)
+        if resp.status_code == httpx.codes.TOO_MANY_REQUESTS and self.budget is not None:
+            self.budget.slow_down(is_write=is_write)
         if resp.status_code not in accept:
             raise refusal(resp.status_code, call.subject)
         return resp
