--- a/src/bronzequay/store/entries.py
+++ b/src/bronzequay/store/entries.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
 
 from bronzequay import ids
-from bronzequay.store import history
+
+if TYPE_CHECKING:
+    from bronzequay.store import history
 
 ABSENT = ids.Revision(0)
 
--- a/tests/store/test_budget.py
+++ b/tests/store/test_budget.py
@@ -92,7 +92,7 @@
     async with trio.open_nursery() as nursery:
         for _ in range(2000):
             nursery.start_soon(spend, limiter, JOURNAL, 1, journals)
-        for _ in range(50):
+        for _ in range(200):
             nursery.start_soon(spend, limiter, LEASE, 1, leases)
         await trio.sleep(10.0)
         nursery.cancel_scope.cancel()
