Watch: a deadline on each poll, a slow poll behind it, present values for late subscribers

Cause: a cut watch kept a change back until the cut was cleared, a subscriber that left ended the watch, and one that came late saw nothing. Each long poll waits 4 s and ends by a deadline. After 5 s without an answer the keys are read instead, which also shows deletions; older events than one seen are dropped.

--- a/src/bronzequay/store/client.py
+++ b/src/bronzequay/store/client.py
@@ -11,7 +11,7 @@
 from bronzequay.store import purpose as purposes
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
     import httpx
 
@@ -31,6 +31,10 @@
 Purpose = purposes.Purpose
 
 
+def _changes(records: tuple[entries.Record, ...]) -> tuple[Change, ...]:
+    return tuple(Change(key=each.key, value=each.value, rev=each.rev) for each in records)
+
+
 class Store:
     """Reads and compare-and-swap writes of the platform's keys.
 
@@ -68,7 +72,7 @@
         :raises BronzequayError: STORE_TIMEOUT, STORE_UNAVAILABLE or STORE_BUDGET
         """
         record = await self._retry(functools.partial(self._wire.get, key), key, purpose)
-        self._remember(record)
+        self._remember((record,))
         if record.value is None:
             return None
         return Entry(key=key, value=record.value, rev=record.rev)
@@ -125,15 +129,22 @@
     async def range(self, prefix: str, *, purpose: Purpose) -> tuple[Entry, ...]:
         """Read all keys under a prefix, sorted by key."""
         fetch = functools.partial(self._wire.range, prefix)
-        records = await self._retry(fetch, prefix, purpose)
-        for record in records:
-            self._remember(record)
+        _, records = await self._retry(fetch, prefix, purpose)
+        self._remember(records)
         return tuple(
             Entry(key=record.key, value=record.value, rev=record.rev)
             for record in records
             if record.value is not None
         )
 
+    async def snapshot(self, prefix: str, *, purpose: Purpose) -> Changes:
+        """Read all keys under a prefix with the store-wide revision: not retried."""
+        deadline_s = self._tries().deadline_s
+        call = wire.Call(subject=prefix, purpose=purpose, deadline_s=deadline_s)
+        rev, records = await self._wire.range(prefix, call)
+        self._remember(records)
+        return Changes(rev=rev, changes=_changes(records))
+
     async def changes(self, prefix: str, *, after: ids.Revision, wait_s: float) -> Changes:
         """Wait for changes of the keys under a prefix: one long poll, not retried.
 
@@ -143,10 +154,8 @@
         deadline_s = self._tries(extra_s=wait_s).deadline_s
         call = wire.Call(subject=prefix, purpose=Purpose.WATCH, deadline_s=deadline_s)
         rev, records = await self._wire.watch(prefix, after=after, wait_s=wait_s, call=call)
-        for record in records:
-            self._remember(record)
-        found = tuple(Change(key=each.key, value=each.value, rev=each.rev) for each in records)
-        return Changes(rev=rev, changes=found)
+        self._remember(records)
+        return Changes(rev=rev, changes=_changes(records))
 
     async def grant(self, ttl_s: float) -> ids.LeaseId:
         """Make a lease that runs out ``ttl_s`` seconds after its last renewal."""
@@ -216,7 +225,7 @@
         known = self._histories.get(key)
         if known is None or known[0] != rev:
             fetch = functools.partial(self._wire.get, key)
-            self._remember(await self._retry(fetch, key, call.purpose))
+            self._remember((await self._retry(fetch, key, call.purpose),))
             known = self._histories.get(key)
         if known is None or known[0] != rev:
             raise errors.BronzequayError(
@@ -224,11 +233,12 @@
             )
         return known[1]
 
-    def _remember(self, record: entries.Record) -> None:
-        if record.value is None:
-            self._histories.pop(record.key, None)
-            return
-        self._keep(record.key, record.rev, record.steps)
+    def _remember(self, records: Iterable[entries.Record]) -> None:
+        for record in records:
+            if record.value is None:
+                self._histories.pop(record.key, None)
+            else:
+                self._keep(record.key, record.rev, record.steps)
 
     def _keep(self, key: str, rev: ids.Revision, steps: tuple[history.Step, ...]) -> None:
         self._histories[key] = (rev, steps[-history.KEPT_STEPS :])
--- a/src/bronzequay/store/watch.py
+++ b/src/bronzequay/store/watch.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import trio
 
@@ -13,49 +13,116 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-WAIT_S = 10.0
-RETRY_S = 0.5
+WAIT_S = 4.0
+POLL_S = 5.0
+FIRST_PAUSE_S = 0.5
+MAX_PAUSE_S = 5.0
+
+
+class Source(Protocol):
+    """What a watch needs of the store."""
+
+    async def changes(self, prefix: str, *, after: ids.Revision, wait_s: float) -> client.Changes:
+        """Wait for changes."""
+
+    async def snapshot(self, prefix: str, *, purpose: client.Purpose) -> client.Changes:
+        """Read all present keys."""
 
 
 class Watch:
     """Tells subscribers the newest change of each key under their prefixes.
 
+    Each poll ends by a deadline. When none has been answered for ``POLL_S`` seconds, the
+    keys are read instead, so that a change also arrives while watches are cut.
+
     :param store: the store to watch
     :param prefix: the prefix that covers every subscriber's
     """
 
-    def __init__(self, store: client.Store, *, prefix: str = "") -> None:
+    def __init__(self, store: Source, *, prefix: str = "") -> None:
         self._store = store
         self._prefix = prefix
         self._rev = ids.Revision(0)
-        self._seen: dict[str, ids.Revision] = {}
+        self._latest: dict[str, client.Change] = {}
         self._subscribers: list[tuple[str, trio.MemorySendChannel[client.Change]]] = []
+        self._answered_s = -math.inf
 
     def subscribe(self, prefix: str) -> trio.MemoryReceiveChannel[client.Change]:
         """Open a channel of the changes under a prefix, from the keys' present values on."""
         send, receive = trio.open_memory_channel[client.Change](math.inf)
         self._subscribers.append((prefix, send))
+        for change in self._latest.values():
+            if change.value is not None and change.key.startswith(prefix):
+                send.send_nowait(change)
         return receive
 
     async def run(self) -> None:
-        """Poll until cancelled."""
+        """Watch until cancelled."""
+        self._answered_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._run_watch)
+            nursery.start_soon(self._run_poll)
+
+    async def _run_watch(self) -> None:
+        pause_s = FIRST_PAUSE_S
         while True:
             try:
                 answer = await self._store.changes(self._prefix, after=self._rev, wait_s=WAIT_S)
             except errors.BronzequayError:
-                await trio.sleep(RETRY_S)
+                await trio.sleep(pause_s)
+                pause_s = min(MAX_PAUSE_S, 2 * pause_s)
                 continue
+            pause_s = FIRST_PAUSE_S
+            self._take(answer)
             self._rev = max(self._rev, answer.rev)
-            self._publish(answer.changes)
+
+    async def _run_poll(self) -> None:
+        while True:
+            due_s = self._answered_s + POLL_S
+            if trio.current_time() < due_s:
+                await trio.sleep_until(due_s)
+                continue
+            await self._poll()
+
+    async def _poll(self) -> None:
+        began_s = trio.current_time()
+        try:
+            answer = await self._store.snapshot(self._prefix, purpose=client.Purpose.WATCH)
+        except errors.BronzequayError:
+            await trio.sleep_until(began_s + POLL_S)
+            return
+        self._take(answer)
+        self._publish(self._deletions(answer))
+
+    def _take(self, answer: client.Changes) -> None:
+        self._answered_s = trio.current_time()
+        self._publish(answer.changes)
+
+    def _deletions(self, answer: client.Changes) -> list[client.Change]:
+        """Return deletions of the keys that a snapshot no longer shows."""
+        present = {change.key for change in answer.changes}
+        return [
+            client.Change(key=key, value=None, rev=answer.rev)
+            for key, known in self._latest.items()
+            if key not in present and known.value is not None and known.rev < answer.rev
+        ]
 
     def _publish(self, changes: Iterable[client.Change]) -> None:
         for change in changes:
-            if change.rev <= self._seen.get(change.key, 0):
+            known = self._latest.get(change.key)
+            if known is None or change.rev > known.rev:
+                self._latest[change.key] = change
+                self._send(change)
+
+    def _send(self, change: client.Change) -> None:
+        for subscriber in list(self._subscribers):
+            prefix, send = subscriber
+            if not change.key.startswith(prefix):
                 continue
-            self._seen[change.key] = change.rev
-            for prefix, send in self._subscribers:
-                if change.key.startswith(prefix):
-                    send.send_nowait(change)
+            try:
+                send.send_nowait(change)
+            except trio.BrokenResourceError:
+                self._subscribers.remove(subscriber)
 
 
-__all__ = ["Watch"]
+__all__ = ["POLL_S", "WAIT_S", "Source", "Watch"]
--- a/src/bronzequay/store/wire.py
+++ b/src/bronzequay/store/wire.py
@@ -145,10 +145,16 @@
         params = {"rev": rev}
         await self._attempt("DELETE", _path(key), call, params=params, accept=(200, 404))
 
-    async def range(self, prefix: str, call: Call) -> tuple[entries.Record, ...]:
-        """Read all keys under a prefix."""
+    async def range(
+        self, prefix: str, call: Call
+    ) -> tuple[ids.Revision, tuple[entries.Record, ...]]:
+        """Read all keys under a prefix.
+
+        :return: the store-wide revision and each key's record
+        """
         resp = await self._attempt("GET", "/v1/range", call, params={"prefix": prefix})
-        return tuple(_record(item) for item in _decode(resp, _Items).items)
+        answer = _decode(resp, _Items)
+        return ids.Revision(answer.rev), tuple(_record(item) for item in answer.items)
 
     async def watch(
         self, prefix: str, *, after: ids.Revision, wait_s: float, call: Call
