--- a/src/bronzequay/policy/core.py
+++ b/src/bronzequay/policy/core.py
@@ -4,36 +4,33 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
-
-from bronzequay import codes, ids
-from bronzequay.policy import model
+from bronzequay.policy import (
+    admission,
+    cells,
+    dispatch,
+    explain,
+    fleet,
+    guarantees,
+    health,
+    lifecycle,
+    model,
+    ordering,
+    overuse,
+    placement,
+    preemption,
+)
+from bronzequay.policy import state as states
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from bronzequay import ids
 
-class WorkerState(msgspec.Struct):
-    """Free capacity of a worker."""
-
-    spec: model.WorkerSpec
-    free_devices: set[int]
-    free_cpu: int
-    free_mem_gb: int
-    is_leaving: bool = False
-
-
-class State(msgspec.Struct):
-    """All that decisions depend on; ``step`` changes it in place.
+State = states.State
+WorkerState = fleet.Worker
+why = explain.why
 
-    :param dirty: jobs whose records changed since ``take_dirty``
-    """
-
-    rules: model.Rules
-    workers: dict[ids.WorkerId, WorkerState]
-    jobs: dict[ids.JobId, model.JobRecord]
-    queue: list[ids.JobId]
-    dirty: set[ids.JobId]
+_BOUND = frozenset({model.JobState.STARTING, model.JobState.RUNNING, model.JobState.IN_DOUBT})
 
 
 def new_state(
@@ -49,18 +46,61 @@
     :param jobs: the records of every job that is not archived
     :return: a state on which ``step`` can go on
     """
-    state = State(rules=rules, workers={}, jobs={}, queue=[], dirty=set())
+    state = State(rules, fleet.Fleet(), guarantees.new_book(rules.orgs))
     for spec in workers:
-        _add_worker(state, spec)
+        fleet.add(state.fleet, spec)
+    _share_out(state)
     for record in jobs:
         state.jobs[record.job] = record
-        if record.state is model.JobState.ACCEPTED:
-            state.queue.append(record.job)
-        if record.state in model.PLACED_STATES:
-            _occupy(state, record, sign=-1)
+        _restore(state, record)
+    state.fresh.clear()
     return state
 
 
+def _restore(state: State, record: model.JobRecord) -> None:
+    if record.state in model.PLACED_STATES:
+        _restore_placed(state, record)
+    elif record.state is model.JobState.ACCEPTED:
+        states.enqueue(state, record)
+    elif record.state is model.JobState.INFEASIBLE:
+        states.set_infeasible(state, record)
+    elif record.state is model.JobState.FINISHED and record.started_s is not None:
+        ran_s = record.attained_s + (record.ended_s or record.started_s) - record.started_s
+        ordering.learn(state.queues, record.spec, ran_s)
+
+
+def _restore_placed(state: State, record: model.JobRecord) -> None:
+    seats = _seats(state, record)
+    if record.state in _BOUND and seats:
+        seating = guarantees.Seating(record.job, record.spec.org, record.share, seats)
+        guarantees.enter(state.book, state.fleet, seating)
+    kept = record.cells
+    states.occupy(state, record, record.share, ())
+    record.cells = kept
+    for place in record.placements:
+        if place.worker not in state.fleet.workers:
+            state.absent.setdefault(place.worker, set()).add(record.job)
+    if record.state is model.JobState.IN_DOUBT:
+        lifecycle.hold_for_good(state, record)
+    is_keeping = record.stop is model.StopMode.CHECKPOINT
+    if record.state is model.JobState.RECLAIMING and is_keeping and record.history:
+        due_s = record.history[-1].at_s + preemption.CHECKPOINT_BOUND_S
+        state.stopping[record.job] = due_s
+
+
+def _seats(state: State, record: model.JobRecord) -> tuple[guarantees.Seat, ...]:
+    if record.share is not model.Share.GUARANTEED:
+        return tuple(guarantees.Seat(cell, cells.mask_of(cell)) for cell in record.cells)
+    need = placement.need_of(record)
+    seats: list[guarantees.Seat] = []
+    for place, cell in zip(record.placements, record.cells, strict=False):
+        worker = state.fleet.workers.get(place.worker)
+        at_level = placement.level_on(worker, need) if worker else cells.level(need.accelerators)
+        part = cells.around(place.devices[0], at_level) & cells.mask_of(cell)
+        seats.append(guarantees.Seat(cell, part))
+    return tuple(seats)
+
+
 def step(state: State, event: model.Event, *, now_s: float) -> tuple[model.Command, ...]:
     """Apply one event.
 
@@ -69,9 +109,10 @@
     :param now_s: seconds since the Unix epoch, read by the shell
     :return: commands to carry out once the dirty records are durable
     """
-    handler = _HANDLERS[type(event)]
-    commands = handler(state, event, now_s)
-    return (*commands, *_place_waiting(state, now_s))
+    state.now_s = now_s
+    commands = _HANDLERS[type(event)](state, event, now_s)
+    is_tick = isinstance(event, model.Tick)
+    return (*commands, *dispatch.run(state, now_s, is_tick=is_tick))
 
 
 def take_dirty(state: State) -> tuple[model.JobRecord, ...]:
@@ -94,256 +135,164 @@
     state.jobs.pop(job, None)
 
 
-def why(state: State, job: ids.JobId) -> str:
-    """Explain in one sentence what a job waits for.
+def unmet(state: State) -> tuple[guarantees.Unmet, ...]:
+    """Name the guarantees that cannot be carved out now, and why.
 
     :param state: read only
-    :param job: a job in the state
-    :return: the reason
+    :return: nothing while the safety invariant holds
     """
-    record = state.jobs[job]
-    if record.state is not model.JobState.ACCEPTED:
-        return f"the job is {record.state.value}"
-    return f"{state.queue.index(job)} jobs are ahead in the queue"
-
-
-def _add_worker(state: State, spec: model.WorkerSpec) -> None:
-    devices = set(range(spec.accelerators))
-    state.workers[spec.worker] = WorkerState(spec, devices, spec.cpu, spec.mem_gb)
-
-
-def _occupy(state: State, record: model.JobRecord, *, sign: int) -> None:
-    for place in record.placements:
-        worker = state.workers.get(place.worker)
-        if worker is None:
-            continue
-        worker.free_cpu += sign * record.spec.cpu
-        worker.free_mem_gb += sign * record.spec.mem_gb
-        if sign < 0:
-            worker.free_devices.difference_update(place.devices)
-        else:
-            worker.free_devices.update(place.devices)
-
-
-def _move(
-    state: State,
-    record: model.JobRecord,
-    new: model.JobState,
-    code: codes.ResultCode,
-    now_s: float,
-    *,
-    detail: str = "",
-) -> None:
-    if new not in model.TRANSITIONS[record.state]:
-        raise AssertionError(f"{record.job}: {record.state.value} to {new.value}")
-    if record.state in model.PLACED_STATES and new not in model.PLACED_STATES:
-        _occupy(state, record, sign=1)
-    record.state = new
-    record.code = code
-    _note(state, record, now_s, detail)
-    if new in model.FINAL_STATES:
-        record.ended_s = now_s
-
-
-def _note(state: State, record: model.JobRecord, now_s: float, detail: str = "") -> None:
-    entry = model.HistoryEntry(
-        at_s=now_s,
-        state=record.state,
-        code=record.code,
-        attempt=record.attempt,
-        bundle=state.rules.version,
-        workers=tuple(place.worker for place in record.placements),
-        detail=detail,
-    )
-    record.history.append(entry)
-    state.dirty.add(record.job)
+    return guarantees.unmet(state.book, state.fleet)
 
 
 def _on_submitted(
     state: State, event: model.JobSubmitted, now_s: float
 ) -> tuple[model.Command, ...]:
-    record = model.JobRecord(
-        job=event.job,
-        spec=event.spec,
-        state=model.JobState.ACCEPTED,
-        code=codes.ResultCode.ACCEPTED,
-        accepted_s=now_s,
-        key=event.key,
-    )
-    state.jobs[event.job] = record
-    state.queue.append(event.job)
-    _note(state, record, now_s)
+    admission.submit(state, event, now_s)
     return ()
 
 
 def _on_cancelled(
     state: State, event: model.JobCancelled, now_s: float
 ) -> tuple[model.Command, ...]:
-    record = state.jobs[event.job]
-    if record.state is model.JobState.ACCEPTED:
-        state.queue.remove(event.job)
-        _move(state, record, model.JobState.CANCELLED, codes.ResultCode.CANCELLED, now_s)
-        return ()
-    if model.JobState.CANCELLING not in model.TRANSITIONS[record.state]:
-        return ()
-    _move(state, record, model.JobState.CANCELLING, codes.ResultCode.CANCELLED, now_s)
-    return (_stop(record, model.StopMode.STOP),)
-
-
-def _stop(record: model.JobRecord, mode: model.StopMode) -> model.StopGang:
-    return model.StopGang(record.job, record.attempt, record.placements, mode)
-
-
-def _on_held(state: State, event: model.GangHeld, now_s: float) -> tuple[model.Command, ...]:
-    record = _current(state, event.job, event.attempt)
-    if record is None or record.state is not model.JobState.STARTING:
-        return ()
-    record.started_s = now_s
-    _move(state, record, model.JobState.RUNNING, codes.ResultCode.ACCEPTED, now_s)
-    return (model.ReleaseGang(record.job, record.attempt, record.placements),)
-
-
-def _current(state: State, job: ids.JobId, attempt: int) -> model.JobRecord | None:
-    record = state.jobs.get(job)
-    if record is None or record.attempt != attempt:
-        return None
-    return record
-
-
-def _on_member_failed(
-    state: State, event: model.MemberFailed, now_s: float
-) -> tuple[model.Command, ...]:
-    record = _current(state, event.job, event.attempt)
-    if record is None or model.JobState.RECLAIMING not in model.TRANSITIONS[record.state]:
-        return ()
-    record.failures += 1
-    code = codes.ResultCode.TASK_FAILED
-    _move(state, record, model.JobState.RECLAIMING, code, now_s, detail=event.fault.value)
-    return (_stop(record, model.StopMode.STOP),)
+    return admission.cancel(state, event.job, now_s)
+
+
+def _on_joined(state: State, event: model.WorkerJoined, now_s: float) -> tuple[model.Command, ...]:
+    name = event.spec.worker
+    known = state.fleet.workers.get(name)
+    commands: tuple[model.Command, ...] = ()
+    if known is not None and known.spec == event.spec:
+        fleet.set_leaving(state.fleet, known, is_leaving=False)
+    else:
+        if known is not None:
+            commands = _lose(state, known, now_s)
+        worker = fleet.add(state.fleet, event.spec)
+        _hold_again(state, worker)
+    _refit(state, now_s)
+    return commands
+
+
+def _hold_again(state: State, worker: fleet.Worker) -> None:
+    """Count the gangs that were placed on a worker before it was there."""
+    name = worker.spec.worker
+    for job in sorted(state.absent.pop(name, ())):
+        record = state.jobs.get(job)
+        if record is None or record.state not in model.PLACED_STATES:
+            continue
+        parts = states.holds(placement.need_of(record), record.placements)
+        if name in parts:
+            fleet.hold(state.fleet, job, [(name, parts[name])])
+            guarantees.close(state.book, state.fleet, job)
 
 
-def _on_finished(
-    state: State, event: model.GangFinished, now_s: float
+def _on_leaving(
+    state: State, event: model.WorkerLeaving, now_s: float
 ) -> tuple[model.Command, ...]:
-    record = _current(state, event.job, event.attempt)
-    if record is None or model.JobState.FINISHED not in model.TRANSITIONS[record.state]:
-        return ()
-    _move(state, record, model.JobState.FINISHED, codes.ResultCode.OK, now_s)
+    worker = state.fleet.workers.get(event.worker)
+    if worker is not None:
+        fleet.set_leaving(state.fleet, worker, is_leaving=True)
+        lifecycle.drop_claims_on(state, worker)
+        _refit(state, now_s)
     return ()
 
 
-def _on_stopped(state: State, event: model.GangStopped, now_s: float) -> tuple[model.Command, ...]:
-    record = _current(state, event.job, event.attempt)
-    if record is None:
+def _on_gone(state: State, event: model.WorkerGone, now_s: float) -> tuple[model.Command, ...]:
+    worker = state.fleet.workers.get(event.worker)
+    if worker is None:
         return ()
-    record.attained_s += event.kept_s
-    if record.state is model.JobState.CANCELLING:
-        _move(state, record, model.JobState.CANCELLED, codes.ResultCode.CANCELLED, now_s)
-    elif record.state is model.JobState.RECLAIMING and record.spec.idempotent:
-        _move(state, record, model.JobState.ACCEPTED, codes.ResultCode.RECLAIMED, now_s)
-        state.queue.append(record.job)
-    elif record.state is model.JobState.RECLAIMING:
-        _move(state, record, model.JobState.FAILED, codes.ResultCode.TASK_FAILED, now_s)
-    return ()
+    commands = _lose(state, worker, now_s)
+    _refit(state, now_s)
+    return commands
 
 
-def _on_unknown(state: State, event: model.GangUnknown, now_s: float) -> tuple[model.Command, ...]:
-    record = _current(state, event.job, event.attempt)
-    if record is not None and model.JobState.IN_DOUBT in model.TRANSITIONS[record.state]:
-        _move(state, record, model.JobState.IN_DOUBT, codes.ResultCode.IN_DOUBT, now_s)
-    return ()
+def _lose(state: State, worker: fleet.Worker, now_s: float) -> tuple[model.Command, ...]:
+    name = worker.spec.worker
+    lifecycle.drop_claims_on(state, worker)
+    jobs = sorted(worker.gangs)
+    fleet.remove(state.fleet, worker)
+    health.forget_worker(state.health, name)
+    commands: list[model.Command] = []
+    for job in jobs:
+        state.absent.setdefault(name, set()).add(job)
+        fault = model.MemberFault.WORKER_LOST
+        event = model.MemberFailed(job, state.jobs[job].attempt, name, fault)
+        commands.extend(lifecycle.on_member_failed(state, event, now_s))
+    return tuple(commands)
 
 
-def _on_joined(state: State, event: model.WorkerJoined, _now_s: float) -> tuple[model.Command, ...]:
-    if event.spec.worker not in state.workers:
-        _add_worker(state, event.spec)
-    return ()
+def _refit(state: State, now_s: float) -> None:
+    _share_out(state)
+    admission.reexamine(state, now_s)
 
 
-def _on_leaving(
-    state: State, event: model.WorkerLeaving, _now_s: float
-) -> tuple[model.Command, ...]:
-    state.workers[event.worker].is_leaving = True
-    return ()
+def _share_out(state: State) -> None:
+    whole = max(1, state.fleet.accelerators)
+    shares = {
+        org: sum(count << up for up, count in enumerate(entry.total)) / whole
+        for org, entry in state.book.orgs.items()
+    }
+    ordering.set_guaranteed(state.queues, shares)
 
 
-def _on_gone(state: State, event: model.WorkerGone, now_s: float) -> tuple[model.Command, ...]:
-    state.workers.pop(event.worker, None)
-    commands: list[model.Command] = []
-    for record in list(state.jobs.values()):
-        if record.state not in model.PLACED_STATES:
-            continue
-        if all(place.worker != event.worker for place in record.placements):
-            continue
-        fault = model.MemberFailed(
-            record.job, record.attempt, event.worker, model.MemberFault.WORKER_LOST
-        )
-        commands.extend(_on_member_failed(state, fault, now_s))
-    return tuple(commands)
-
-
-def _on_rules(state: State, event: model.RulesChanged, _now_s: float) -> tuple[model.Command, ...]:
+def _on_rules(state: State, event: model.RulesChanged, now_s: float) -> tuple[model.Command, ...]:
+    before = state.rules.orgs
     state.rules = event.rules
+    if before == event.rules.orgs:
+        return ()
+    for job in guarantees.change(state.book, event.rules.orgs):
+        _lose_guarantee(state, job)
+    state.fleet.freed += 1
+    _refit(state, now_s)
     return ()
 
 
-def _on_tick(_state: State, _event: model.Tick, _now_s: float) -> tuple[model.Command, ...]:
-    return ()
+def _lose_guarantee(state: State, job: ids.JobId) -> None:
+    """Turn a gang whose guarantee was withdrawn into a borrower, or hold its cells for good."""
+    record = state.jobs[job]
+    if job in state.claims:
+        states.drop_claim(state, job)
+        return
+    seating = state.book.seatings[job]
+    guarantees.leave(state.book, state.fleet, job)
+    state.dirty.add(job)
+    record.share = model.Share.BORROWED
+    record.cells = ()
+    if record.spec.reclaimable and record.state is not model.JobState.IN_DOUBT:
+        return
+    record.share = model.Share.FIXED
+    seats = tuple(guarantees.Seat(_part_cell(seat), seat.part) for seat in seating.seats)
+    record.cells = tuple(seat.cell for seat in seats)
+    kept = guarantees.Seating(job, record.spec.org, model.Share.FIXED, seats)
+    guarantees.enter(state.book, state.fleet, kept)
+
+
+def _part_cell(seat: guarantees.Seat) -> cells.Cell:
+    return cells.cell_of(seat.cell.worker, seat.part)
+
+
+def _on_tick(state: State, _event: model.Tick, now_s: float) -> tuple[model.Command, ...]:
+    for name in health.due_probes(state.health, now_s):
+        health.probe(state.health, name)
+        worker = state.fleet.workers[name]
+        fleet.set_quarantined(state.fleet, worker, is_quarantined=False, is_probing=True)
+    return preemption.overdue(state, now_s)
 
 
 _HANDLERS: dict[type[model.Event], Callable[..., tuple[model.Command, ...]]] = {
     model.JobSubmitted: _on_submitted,
     model.JobCancelled: _on_cancelled,
-    model.GangHeld: _on_held,
-    model.MemberFailed: _on_member_failed,
-    model.GangFinished: _on_finished,
-    model.GangStopped: _on_stopped,
-    model.GangUnknown: _on_unknown,
+    model.GangHeld: lifecycle.on_held,
+    model.MemberFailed: lifecycle.on_member_failed,
+    model.GangFinished: lifecycle.on_finished,
+    model.GangStopped: lifecycle.on_stopped,
+    model.GangUnknown: lifecycle.on_unknown,
     model.WorkerJoined: _on_joined,
     model.WorkerLeaving: _on_leaving,
     model.WorkerGone: _on_gone,
     model.RulesChanged: _on_rules,
+    model.UsageReported: overuse.on_usage,
     model.Tick: _on_tick,
 }
 
 
-def _place_waiting(state: State, now_s: float) -> tuple[model.Command, ...]:
-    commands: list[model.Command] = []
-    waiting: list[ids.JobId] = []
-    for job in state.queue:
-        record = state.jobs[job]
-        placements = _first_fit(state, record.spec)
-        if placements is None:
-            waiting.append(job)
-            continue
-        record.placements = placements
-        record.attempt += 1
-        _move(state, record, model.JobState.STARTING, codes.ResultCode.ACCEPTED, now_s)
-        _occupy(state, record, sign=-1)
-        commands.append(model.StartGang(job, record.attempt, record.spec, placements))
-    state.queue = waiting
-    return tuple(commands)
-
-
-def _first_fit(state: State, spec: model.JobSpec) -> tuple[model.Placement, ...] | None:
-    placements: list[model.Placement] = []
-    for worker in state.workers.values():
-        if worker.is_leaving:
-            continue
-        devices = sorted(worker.free_devices)
-        cpu, mem_gb = worker.free_cpu, worker.free_mem_gb
-        while len(placements) < spec.members and _fits(spec, len(devices), cpu, mem_gb):
-            taken, devices = devices[: spec.accelerators], devices[spec.accelerators :]
-            cpu -= spec.cpu
-            mem_gb -= spec.mem_gb
-            placements.append(model.Placement(len(placements), worker.spec.worker, tuple(taken)))
-        if len(placements) == spec.members:
-            return tuple(placements)
-    return None
-
-
-def _fits(spec: model.JobSpec, devices: int, cpu: int, mem_gb: int) -> bool:
-    return spec.accelerators <= devices and spec.cpu <= cpu and spec.mem_gb <= mem_gb
-
-
-__all__ = ["State", "WorkerState", "forget", "new_state", "step", "take_dirty", "why"]
+__all__ = ["State", "WorkerState", "forget", "new_state", "step", "take_dirty", "unmet", "why"]
--- a/src/bronzequay/policy/model.py
+++ b/src/bronzequay/policy/model.py
@@ -3,14 +3,11 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING
 
 import msgspec
 
 from bronzequay import codes, ids
-
-if TYPE_CHECKING:
-    from collections.abc import Mapping
+from bronzequay.policy import cells, states
 
 
 class Urgency(enum.Enum):
@@ -21,76 +18,12 @@
     URGENT = "urgent"
 
 
-class JobState(enum.Enum):
-    """Stage of a job's life; ``TRANSITIONS`` lists the legal moves."""
-
-    ACCEPTED = "accepted"
-    STARTING = "starting"
-    RUNNING = "running"
-    RECLAIMING = "reclaiming"
-    CANCELLING = "cancelling"
-    FINISHED = "finished"
-    FAILED = "failed"
-    CANCELLED = "cancelled"
-    REFUSED = "refused"
-    INFEASIBLE = "infeasible"
-    IN_DOUBT = "in_doubt"
-
-
-TRANSITIONS: Mapping[JobState, frozenset[JobState]] = {
-    JobState.ACCEPTED: frozenset(
-        {JobState.STARTING, JobState.CANCELLED, JobState.INFEASIBLE, JobState.REFUSED}
-    ),
-    JobState.STARTING: frozenset(
-        {
-            JobState.RUNNING,
-            JobState.RECLAIMING,
-            JobState.CANCELLING,
-            JobState.FAILED,
-            JobState.IN_DOUBT,
-        }
-    ),
-    JobState.RUNNING: frozenset(
-        {
-            JobState.RECLAIMING,
-            JobState.CANCELLING,
-            JobState.FINISHED,
-            JobState.FAILED,
-            JobState.IN_DOUBT,
-        }
-    ),
-    JobState.RECLAIMING: frozenset(
-        {
-            JobState.ACCEPTED,
-            JobState.CANCELLING,
-            JobState.FINISHED,
-            JobState.FAILED,
-            JobState.IN_DOUBT,
-        }
-    ),
-    JobState.CANCELLING: frozenset(
-        {JobState.CANCELLED, JobState.FINISHED, JobState.FAILED, JobState.IN_DOUBT}
-    ),
-    JobState.IN_DOUBT: frozenset(
-        {JobState.ACCEPTED, JobState.FINISHED, JobState.FAILED, JobState.CANCELLED}
-    ),
-    JobState.INFEASIBLE: frozenset({JobState.ACCEPTED, JobState.CANCELLED}),
-    JobState.FINISHED: frozenset(),
-    JobState.FAILED: frozenset(),
-    JobState.CANCELLED: frozenset(),
-    JobState.REFUSED: frozenset(),
-}
-
-FINAL_STATES = frozenset(state for state, after in TRANSITIONS.items() if not after)
-PLACED_STATES = frozenset(
-    {
-        JobState.STARTING,
-        JobState.RUNNING,
-        JobState.RECLAIMING,
-        JobState.CANCELLING,
-        JobState.IN_DOUBT,
-    }
-)
+JobState = states.JobState
+TRANSITIONS = states.TRANSITIONS
+FINAL_STATES = states.FINAL_STATES
+PLACED_STATES = states.PLACED_STATES
+Share = cells.Share
+Cell = cells.Cell
 
 
 class JobSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -191,12 +124,35 @@
     detail: str = ""
 
 
+class StopMode(enum.Enum):
+    """How members of a gang are stopped."""
+
+    CHECKPOINT = "checkpoint"
+    STOP = "stop"
+
+
+class MemberFault(enum.Enum):
+    """Why a member of a gang did not run to its end."""
+
+    START_FAILED = "start_failed"
+    TASK_FAILED = "task_failed"
+    WORKER_LOST = "worker_lost"
+    OVER_DECLARED = "over_declared"
+
+
 class JobRecord(msgspec.Struct):
     """Durable form of a job; the journal stores it, the core decides on it.
 
     :param attempt: number of the last start, 0 before the first
     :param attained_s: run time that checkpoints have kept, in seconds
     :param key: the caller's deduplication key
+    :param share: what the placed gang is held against
+    :param cells: cells the gang takes out of guarantees, one a member
+    :param stop: how the current attempt was last told to stop
+    :param fault: why a member of the current attempt did not run to its end
+    :param is_cancel_asked: whether a cancellation waits for the gang's fate
+    :param seen_cpu: cores a member was seen to use beyond its declaration
+    :param seen_mem_gb: memory a member was seen to use beyond its declaration, in GB
     """
 
     job: ids.JobId
@@ -212,22 +168,13 @@
     failures: int = 0
     key: str | None = None
     history: list[HistoryEntry] = msgspec.field(default_factory=list)
-
-
-class StopMode(enum.Enum):
-    """How members of a gang are stopped."""
-
-    CHECKPOINT = "checkpoint"
-    STOP = "stop"
-
-
-class MemberFault(enum.Enum):
-    """Why a member of a gang did not run to its end."""
-
-    START_FAILED = "start_failed"
-    TASK_FAILED = "task_failed"
-    WORKER_LOST = "worker_lost"
-    OVER_DECLARED = "over_declared"
+    share: Share = Share.BORROWED
+    cells: tuple[Cell, ...] = ()
+    stop: StopMode | None = None
+    fault: MemberFault | None = None
+    is_cancel_asked: bool = False
+    seen_cpu: int = 0
+    seen_mem_gb: int = 0
 
 
 # Events: what the shell tells the core.
@@ -316,6 +263,27 @@
     """Time has passed; timeouts and aging apply."""
 
 
+class TaskUsage(msgspec.Struct, frozen=True):
+    """What one member was seen to use.
+
+    :param cpu: processor cores
+    :param mem_gb: memory, in GB
+    """
+
+    job: ids.JobId
+    attempt: int
+    member: int
+    cpu: int
+    mem_gb: int
+
+
+class UsageReported(msgspec.Struct, frozen=True):
+    """Lagging usage of the tasks on a worker."""
+
+    worker: ids.WorkerId
+    tasks: tuple[TaskUsage, ...]
+
+
 Event = (
     JobSubmitted
     | JobCancelled
@@ -328,6 +296,7 @@
     | WorkerLeaving
     | WorkerGone
     | RulesChanged
+    | UsageReported
     | Tick
 )
 
@@ -335,6 +304,27 @@
 # Commands: what the core asks of the shell, after the dirty records are durable.
 
 
+class Why(msgspec.Struct, frozen=True):
+    """What a job waits for; ``str`` gives the sentence.
+
+    :param text: the reason as one sentence
+    :param held_by: the guarantee, rule or capacity that holds the job, empty when nothing does
+    :param ahead: waiting jobs that the order puts before it
+    :param ahead_jobs: the first few of those
+    :param estimate_s: earliest start that can be vouched for, in seconds from now, or None
+    """
+
+    text: str
+    held_by: str = ""
+    ahead: int = 0
+    ahead_jobs: tuple[ids.JobId, ...] = ()
+    estimate_s: float | None = None
+
+    def __str__(self) -> str:
+        """Return the sentence."""
+        return self.text
+
+
 class StartGang(msgspec.Struct, frozen=True):
     """Start every member held; release none before all have answered."""
 
@@ -368,6 +358,7 @@
     "FINAL_STATES",
     "PLACED_STATES",
     "TRANSITIONS",
+    "Cell",
     "Command",
     "Event",
     "GangFinished",
@@ -388,11 +379,15 @@
     "Rules",
     "RulesChanged",
     "Shape",
+    "Share",
     "StartGang",
     "StopGang",
     "StopMode",
+    "TaskUsage",
     "Tick",
     "Urgency",
+    "UsageReported",
+    "Why",
     "WorkerGone",
     "WorkerJoined",
     "WorkerLeaving",
