--- a/src/bronzequay/policy/dispatch.py
+++ b/src/bronzequay/policy/dispatch.py
@@ -34,7 +34,7 @@
 """The same for gangs that have waited too long."""
 AGED_S = 1_800.0
 """Waiting time beyond its rank's delay that makes a job aged, in seconds."""
-WALK_PERIOD_S = 1.0
+WALK_PERIOD_S = 15.0
 """Shortest time between two walks that only time has given a reason for, in seconds."""
 
 
@@ -62,7 +62,8 @@
     has_room = state.fleet.freed != state.seen_freed
     if has_room or (is_tick and now_s - state.walked_s >= WALK_PERIOD_S):
         state.fresh.clear()
-        state.blocked.clear()
+        if has_room:
+            state.blocked.clear()
         commands.extend(_walk_all(state, now_s))
         state.seen_freed = state.fleet.freed
         state.walked_s = now_s
@@ -215,14 +216,32 @@
                 continue
             if not one.evicting_tries:
                 return
+            key = _evicting_key(state, record, share, right)
+            if state.blocked.get(key) == state.fleet.freed:
+                continue
             one.evicting_tries -= 1
             draft = plan()
             if draft is None or not _enter(state, record, share, draft):
+                state.blocked[key] = state.fleet.freed
                 continue
             yield from _claim(state, record, share, draft, right, now_s=one.now_s)
             return
 
 
+def _evicting_key(
+    state: states.State, record: model.JobRecord, share: model.Share, right: Right
+) -> tuple[object, ...]:
+    """Return what decides whether a search for gangs to stop is in vain until room comes free.
+
+    Rights other than a guarantee depend on the time as well; they are asked again every period.
+    """
+    need = placement.need_of(record)
+    if right.is_guarantee:
+        return (right.name, share, need, record.spec.org)
+    period = int(state.now_s / WALK_PERIOD_S)
+    return (right.name, share, need, record.spec.org, record.spec.caller, period)
+
+
 def _rights(state: states.State, record: model.JobRecord, now_s: float) -> Iterator[Right]:
     bound_s = preemption.CHECKPOINT_BOUND_S
     is_urgent = record.spec.urgency is model.Urgency.URGENT
--- a/src/bronzequay/policy/guarantees.py
+++ b/src/bronzequay/policy/guarantees.py
@@ -45,14 +45,14 @@
     :param unbound: cells by level that no gang uses
     :param bound: gangs and their parts by cell
     :param by_worker: bound cells by worker
-    :param roomy: bound cells that still have room
+    :param roomy: devices of bound cells that no gang of the organisation uses, by cell
     """
 
     total: list[int]
     unbound: list[int]
     bound: dict[cells.Cell, dict[ids.JobId, int]] = msgspec.field(default_factory=dict)
     by_worker: dict[ids.WorkerId, list[cells.Cell]] = msgspec.field(default_factory=dict)
-    roomy: dict[cells.Cell, None] = msgspec.field(default_factory=dict)
+    roomy: dict[cells.Cell, int] = msgspec.field(default_factory=dict)
 
 
 class Book(msgspec.Struct):
@@ -161,10 +161,11 @@
     used = 0
     for part in entry.bound[cell].values():
         used |= part
-    if used == cells.mask_of(cell):
-        entry.roomy.pop(cell, None)
+    left = cells.mask_of(cell) & ~used
+    if left:
+        entry.roomy[cell] = left
     else:
-        entry.roomy[cell] = None
+        entry.roomy.pop(cell, None)
 
 
 def _count(book: Book, entry: OrgBook, cell: cells.Cell, sign: int) -> None:
--- a/src/bronzequay/policy/planning.py
+++ b/src/bronzequay/policy/planning.py
@@ -82,11 +82,14 @@
     entry = state.book.orgs.get(record.spec.org)
     if entry is None or not need.accelerators:
         return False
-    if entry.roomy:
-        return True
     at_level = cells.level(need.accelerators)
     rooms = (max(0, count) << up >> at_level for up, count in enumerate(entry.unbound))
-    return sum(rooms) >= need.members
+    room = sum(rooms)
+    for mask in entry.roomy.values():
+        if room >= need.members:
+            break
+        room += len(cells.inside(mask, at_level))
+    return room >= need.members
 
 
 def _open_metric(need: search.Need) -> int:
