--- a/bench/driver.py
+++ b/bench/driver.py
@@ -214,7 +214,9 @@
     if passed_s <= 0:
         return
     for attempt in run.shadow.attempts.values():
-        run.outcome.busy_s += passed_s * len(attempt.running) * attempt.spec.accelerators
+        work_s = passed_s * len(attempt.running) * attempt.spec.accelerators
+        run.outcome.busy_s += work_s
+        run.outcome.caller_busy_s[attempt.spec.caller] += work_s
     free = sum(len(worker.devices) for worker in run.shadow.workers.values())
     run.outcome.free_s += passed_s * free
     shape = max(
--- a/bench/outcome.py
+++ b/bench/outcome.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 import msgspec
 
 from bench import trace
@@ -30,6 +32,7 @@
 
     :param reclaims: checkpoints taken of running gangs
     :param busy_s: accelerator-seconds during which members did work
+    :param caller_busy_s: the same, per caller
     :param free_s: free accelerator-seconds
     :param unusable_s: free accelerator-seconds that the largest waiting gang could not use
     :param unusable_share_s: integral over time of the unusable share of free accelerators
@@ -47,6 +50,9 @@
     partial_gang_examples: list[str] = msgspec.field(default_factory=list)
     reclaims: int = 0
     busy_s: float = 0.0
+    caller_busy_s: collections.defaultdict[ids.CallerId, float] = msgspec.field(
+        default_factory=lambda: collections.defaultdict(float)
+    )
     free_s: float = 0.0
     unusable_s: float = 0.0
     unusable_share_s: float = 0.0
