Count gangs that cannot be reclaimed against guarantees on their own, and cells on leaving workers as needed

A start now also asks whether the guarantees would be met if every reclaimable gang were stopped. A cell in use on a leaving or quarantined worker counts as needed elsewhere, which the property test asked for (cancelling a gang there raised the shortage).

--- a/src/bronzequay/policy/cells.py
+++ b/src/bronzequay/policy/cells.py
@@ -138,6 +138,24 @@
     return short
 
 
+def rest(total: Sequence[int], used: Sequence[int]) -> list[int]:
+    """Return the cells left over when used blocks are charged to the smallest that hold them.
+
+    :param total: cells by level
+    :param used: blocks by level; those that no cell holds are not charged
+    """
+    left = list(total)
+    for at_level in reversed(range(LEVELS)):
+        for _ in range(used[at_level]):
+            grade = next((up for up in range(at_level, LEVELS) if left[up]), None)
+            if grade is None:
+                break
+            left[grade] -= 1
+            for below in range(at_level, grade):
+                left[below] += 1
+    return left
+
+
 __all__ = [
     "LEVELS",
     "Cell",
@@ -153,5 +171,6 @@
     "mask_of_devices",
     "maximal",
     "pick",
+    "rest",
     "shortfall",
 ]
--- a/src/bronzequay/policy/core.py
+++ b/src/bronzequay/policy/core.py
@@ -72,7 +72,9 @@
 def _restore_placed(state: State, record: model.JobRecord) -> None:
     seats = _seats(state, record)
     if record.state in _BOUND and seats:
-        seating = guarantees.Seating(record.job, record.spec.org, record.share, seats)
+        seating = guarantees.Seating(
+            record.job, record.spec.org, record.share, seats, not record.spec.reclaimable
+        )
         guarantees.enter(state.book, state.fleet, seating)
     kept = record.cells
     states.occupy(state, record, record.share, ())
@@ -163,11 +165,13 @@
     commands: tuple[model.Command, ...] = ()
     if known is not None and known.spec == event.spec:
         fleet.set_leaving(state.fleet, known, is_leaving=False)
+        guarantees.follow(state.book, state.fleet, name)
     else:
         if known is not None:
             commands = _lose(state, known, now_s)
         worker = fleet.add(state.fleet, event.spec)
         _hold_again(state, worker)
+        guarantees.follow(state.book, state.fleet, name)
     _refit(state, now_s)
     return commands
 
@@ -191,6 +195,7 @@
     worker = state.fleet.workers.get(event.worker)
     if worker is not None:
         fleet.set_leaving(state.fleet, worker, is_leaving=True)
+        guarantees.follow(state.book, state.fleet, event.worker)
         lifecycle.drop_claims_on(state, worker)
         _refit(state, now_s)
     return ()
@@ -210,6 +215,7 @@
     lifecycle.drop_claims_on(state, worker)
     jobs = sorted(worker.gangs)
     fleet.remove(state.fleet, worker)
+    guarantees.follow(state.book, state.fleet, name)
     health.forget_worker(state.health, name)
     commands: list[model.Command] = []
     for job in jobs:
@@ -262,7 +268,9 @@
     record.share = model.Share.FIXED
     seats = tuple(guarantees.Seat(_part_cell(seat), seat.part) for seat in seating.seats)
     record.cells = tuple(seat.cell for seat in seats)
-    kept = guarantees.Seating(job, record.spec.org, model.Share.FIXED, seats)
+    kept = guarantees.Seating(
+        job, record.spec.org, model.Share.FIXED, seats, not record.spec.reclaimable
+    )
     guarantees.enter(state.book, state.fleet, kept)
 
 
@@ -275,6 +283,7 @@
         health.probe(state.health, name)
         worker = state.fleet.workers[name]
         fleet.set_quarantined(state.fleet, worker, is_quarantined=False, is_probing=True)
+        guarantees.follow(state.book, state.fleet, name)
     return preemption.overdue(state, now_s)
 
 
--- a/src/bronzequay/policy/dispatch.py
+++ b/src/bronzequay/policy/dispatch.py
@@ -191,7 +191,9 @@
     if share is model.Share.BORROWED:
         return True
     seats = planning.seats_of(draft)
-    seating = guarantees.Seating(record.job, record.spec.org, share, seats)
+    seating = guarantees.Seating(
+        record.job, record.spec.org, share, seats, not record.spec.reclaimable
+    )
     return guarantees.try_enter(state.book, state.fleet, seating)
 
 
--- a/src/bronzequay/policy/fleet.py
+++ b/src/bronzequay/policy/fleet.py
@@ -50,6 +50,7 @@
     :param everything: all devices
     :param free: devices that no gang holds
     :param open: devices outside the cells bound to guarantees or held for good
+    :param firm: devices held for good by gangs that cannot be reclaimed
     :param cpu: free cores, below 0 when usage proved a declaration wrong
     :param mem_gb: free memory, in GB
     :param is_probing: whether one gang at a time may try the worker after its quarantine
@@ -62,6 +63,7 @@
     open: int
     cpu: int
     mem_gb: int
+    firm: int = 0
     is_leaving: bool = False
     is_quarantined: bool = False
     is_probing: bool = False
@@ -69,6 +71,7 @@
     claims: dict[ids.JobId, Hold] = msgspec.field(default_factory=dict)
     metrics: tuple[int, ...] = _NOTHING
     open_cells: tuple[int, ...] = _NO_CELLS
+    soft_cells: tuple[int, ...] = _NO_CELLS
 
     @property
     def is_open(self) -> bool:
@@ -111,6 +114,7 @@
 
     :param open_cells: largest open cells by level, over all workers that take new work
     :param kinds: how many workers of each kind each data centre has that are not leaving
+    :param soft_cells: largest cells by level that no gang holds for good
     :param all_cells: largest cells by level of all workers that are not leaving
     :param version: changes with the set of workers that are not leaving
     :param freed: counts the changes that may let a waiting gang start
@@ -121,6 +125,7 @@
     centres: dict[ids.DataCentreId, Group] = msgspec.field(default_factory=dict)
     region: Group = msgspec.field(default_factory=Group)
     open_cells: list[int] = msgspec.field(default_factory=lambda: [0] * cells.LEVELS)
+    soft_cells: list[int] = msgspec.field(default_factory=lambda: [0] * cells.LEVELS)
     all_cells: list[int] = msgspec.field(default_factory=lambda: [0] * cells.LEVELS)
     kinds: dict[ids.DataCentreId, collections.Counter[Kind]] = msgspec.field(default_factory=dict)
     accelerators: int = 0
@@ -219,6 +224,12 @@
     for at_level, number in enumerate(open_cells):
         fleet.open_cells[at_level] += number - worker.open_cells[at_level]
     worker.open_cells = open_cells
+    soft_cells = (
+        _NO_CELLS if worker.is_leaving else cells.histogram(worker.everything & ~worker.firm)
+    )
+    for at_level, number in enumerate(soft_cells):
+        fleet.soft_cells[at_level] += number - worker.soft_cells[at_level]
+    worker.soft_cells = soft_cells
 
 
 def usable(worker: Worker) -> int:
--- a/src/bronzequay/policy/guarantees.py
+++ b/src/bronzequay/policy/guarantees.py
@@ -30,12 +30,16 @@
 
 
 class Seating(msgspec.Struct, frozen=True):
-    """The cells of a gang that is not a borrower, one seat a member."""
+    """The cells of a gang that is not a borrower, one seat a member.
+
+    :param is_firm: whether the gang cannot be reclaimed
+    """
 
     job: ids.JobId
     org: ids.OrgId
     share: model.Share
     seats: tuple[Seat, ...]
+    is_firm: bool
 
 
 class OrgBook(msgspec.Struct):
@@ -44,6 +48,9 @@
     :param total: cells by level
     :param unbound: cells by level that no gang uses
     :param bound: gangs and their parts by cell
+    :param displaced: bound cells on workers that take no new work
+    :param firm: blocks by level that gangs hold which cannot be reclaimed
+    :param firm_rest: cells by level that would be unused if all others were stopped
     :param by_worker: bound cells by worker
     :param roomy: devices of bound cells that no gang of the organisation uses, by cell
     """
@@ -51,6 +58,9 @@
     total: list[int]
     unbound: list[int]
     bound: dict[cells.Cell, dict[ids.JobId, int]] = msgspec.field(default_factory=dict)
+    displaced: set[cells.Cell] = msgspec.field(default_factory=set)
+    firm: list[int] = msgspec.field(default_factory=lambda: [0] * cells.LEVELS)
+    firm_rest: list[int] = msgspec.field(default_factory=lambda: [0] * cells.LEVELS)
     by_worker: dict[ids.WorkerId, list[cells.Cell]] = msgspec.field(default_factory=dict)
     roomy: dict[cells.Cell, int] = msgspec.field(default_factory=dict)
 
@@ -58,12 +68,15 @@
 class Book(msgspec.Struct):
     """All guarantees.
 
-    :param need: cells by level that no gang uses, over all organisations
+    :param need: cells by level to be carved out, over all organisations: those that no gang
+        uses, and those in use on a worker that takes no new work
+    :param firm_need: the same if all gangs that can be reclaimed were stopped
     :param seatings: cells by gang, for gangs that are not borrowers
     """
 
     orgs: dict[ids.OrgId, OrgBook] = msgspec.field(default_factory=dict)
     need: list[int] = msgspec.field(default_factory=lambda: [0] * cells.LEVELS)
+    firm_need: list[int] = msgspec.field(default_factory=lambda: [0] * cells.LEVELS)
     seatings: dict[ids.JobId, Seating] = msgspec.field(default_factory=dict)
 
 
@@ -104,6 +117,7 @@
         entry.unbound[at_level] += change
         book.need[at_level] += change
     entry.total = total
+    _recount_firm(book, entry)
 
 
 def change(book: Book, orgs: Mapping[ids.OrgId, model.OrgRules]) -> tuple[ids.JobId, ...]:
@@ -135,9 +149,36 @@
     return sum(count << at_level for at_level, count in enumerate(missing))
 
 
+def firm_short(book: Book, flt: fleet.Fleet) -> int:
+    """Return what would be missing if every gang that can be reclaimed were stopped."""
+    missing = cells.shortfall(flt.soft_cells, book.firm_need)
+    return sum(count << at_level for at_level, count in enumerate(missing))
+
+
+def _recount_firm(book: Book, entry: OrgBook) -> None:
+    rest = cells.rest(entry.total, entry.firm)
+    for at_level, count in enumerate(rest):
+        book.firm_need[at_level] += count - entry.firm_rest[at_level]
+    entry.firm_rest = rest
+
+
+def _hold_firm(book: Book, flt: fleet.Fleet, seating: Seating, sign: int) -> None:
+    if not seating.is_firm:
+        return
+    entry = book.orgs.setdefault(seating.org, OrgBook([0] * cells.LEVELS, [0] * cells.LEVELS))
+    for seat in seating.seats:
+        entry.firm[cells.level(seat.part.bit_count())] += sign
+        worker = flt.workers.get(seat.cell.worker)
+        if worker is not None:
+            worker.firm = worker.firm | seat.part if sign > 0 else worker.firm & ~seat.part
+            fleet.refresh(flt, worker)
+    _recount_firm(book, entry)
+
+
 def enter(book: Book, flt: fleet.Fleet, seating: Seating) -> None:
     """Bind a gang's cells, without asking whether the rest still fits."""
     book.seatings[seating.job] = seating
+    _hold_firm(book, flt, seating, 1)
     for seat in seating.seats:
         if seating.share is model.Share.FIXED:
             _set_open(flt, seat.cell, is_open=False)
@@ -152,6 +193,7 @@
         entry.by_worker.setdefault(seat.cell.worker, []).append(seat.cell)
         _count(book, entry, seat.cell, -1)
         _set_open(flt, seat.cell, is_open=False)
+        _displace(book, flt, entry, seat.cell)
     users = entry.bound[seat.cell]
     users[seating.job] = users.get(seating.job, 0) | seat.part
     _note_room(entry, seat.cell)
@@ -174,6 +216,25 @@
     book.need[at_level] += sign
 
 
+def follow(book: Book, flt: fleet.Fleet, name: ids.WorkerId) -> None:
+    """Take in whether a worker takes new work, for the cells that are bound there."""
+    for entry in book.orgs.values():
+        for cell in entry.by_worker.get(name, ()):
+            _displace(book, flt, entry, cell)
+
+
+def _displace(book: Book, flt: fleet.Fleet, entry: OrgBook, cell: cells.Cell) -> None:
+    worker = flt.workers.get(cell.worker)
+    is_displaced = worker is None or not worker.is_open
+    if is_displaced == (cell in entry.displaced):
+        return
+    book.need[cells.level(cell.size)] += 1 if is_displaced else -1
+    if is_displaced:
+        entry.displaced.add(cell)
+    else:
+        entry.displaced.remove(cell)
+
+
 def _set_open(flt: fleet.Fleet, cell: cells.Cell, *, is_open: bool) -> None:
     worker = flt.workers.get(cell.worker)
     if worker is None:
@@ -188,6 +249,7 @@
     seating = book.seatings.pop(job, None)
     if seating is None:
         return
+    _hold_firm(book, flt, seating, -1)
     for cell in {seat.cell for seat in seating.seats}:
         if seating.share is model.Share.GUARANTEED:
             _unbind(book, flt, seating, cell)
@@ -205,6 +267,9 @@
     entry.roomy.pop(cell, None)
     entry.by_worker[cell.worker].remove(cell)
     _count(book, entry, cell, 1)
+    if cell in entry.displaced:
+        entry.displaced.remove(cell)
+        book.need[cells.level(cell.size)] -= 1
     _set_open(flt, cell, is_open=True)
 
 
@@ -213,6 +278,10 @@
     seating = book.seatings.get(job)
     for seat in seating.seats if seating else ():
         _set_open(flt, seat.cell, is_open=False)
+        worker = flt.workers.get(seat.cell.worker)
+        if seating is not None and seating.is_firm and worker is not None:
+            worker.firm |= seat.part & worker.everything
+            fleet.refresh(flt, worker)
 
 
 def try_enter(book: Book, flt: fleet.Fleet, seating: Seating) -> bool:
@@ -220,10 +289,11 @@
 
     :return: whether the cells were bound
     """
-    before = short(book, flt)
+    before, firm_before = short(book, flt), firm_short(book, flt)
     enter(book, flt, seating)
     is_within = all(count >= 0 for count in book.orgs[seating.org].unbound)
-    if is_within and short(book, flt) <= before:
+    is_firm_within = firm_short(book, flt) <= firm_before
+    if is_within and is_firm_within and short(book, flt) <= before:
         return True
     leave(book, flt, seating.job)
     return False
@@ -239,7 +309,9 @@
     for at_level, count in enumerate(missing):
         left = count
         for org in sorted(book.orgs):
-            part = min(left, max(0, book.orgs[org].unbound[at_level]))
+            entry = book.orgs[org]
+            displaced = sum(cells.level(cell.size) == at_level for cell in entry.displaced)
+            part = min(left, max(0, entry.unbound[at_level]) + displaced)
             if part:
                 found.append(Unmet(org, 1 << at_level, part, _reason(flt, at_level)))
             left -= part
@@ -265,6 +337,8 @@
     "change",
     "close",
     "enter",
+    "firm_short",
+    "follow",
     "leave",
     "levels_of",
     "new_book",
--- a/src/bronzequay/policy/lifecycle.py
+++ b/src/bronzequay/policy/lifecycle.py
@@ -71,6 +71,7 @@
     if worker is not None and not worker.is_quarantined:
         health.quarantine(state.health, name, now_s)
         fleet.set_quarantined(state.fleet, worker, is_quarantined=True)
+        guarantees.follow(state.book, state.fleet, name)
         drop_claims_on(state, worker)
 
 
@@ -110,6 +111,7 @@
         if name in state.fleet.workers:
             worker = state.fleet.workers[name]
             fleet.set_quarantined(state.fleet, worker, is_quarantined=False)
+            guarantees.follow(state.book, state.fleet, name)
 
 
 def on_finished(
@@ -212,7 +214,13 @@
         for _level, block in cells.maximal(mask):
             seats.append(guarantees.Seat(cells.cell_of(name, block), block))
     if seats:
-        seating = guarantees.Seating(record.job, record.spec.org, model.Share.FIXED, tuple(seats))
+        seating = guarantees.Seating(
+            record.job,
+            record.spec.org,
+            model.Share.FIXED,
+            tuple(seats),
+            not record.spec.reclaimable,
+        )
         guarantees.enter(state.book, state.fleet, seating)
 
 
--- a/src/bronzequay/policy/planning.py
+++ b/src/bronzequay/policy/planning.py
@@ -34,7 +34,7 @@
     """Plan a borrower where others are stopped for it."""
     need = placement.need_of(record)
     fill = placement.fill_evicting(need, price)
-    return _find(state, record, need, _open_metric(need), fill)
+    return _find(state, record, need, _open_metric(need), fill, is_bound=False)
 
 
 def fixed(
@@ -73,6 +73,7 @@
         fill,
         new_draft=lambda: search.Draft(budget=list(budget)),
         first=dict.fromkeys(racks),
+        is_bound=not racks,
     )
 
 
@@ -107,6 +108,7 @@
     *,
     new_draft: Callable[[], search.Draft] = search.Draft,
     first: Iterable[fleet.RackKey] = (),
+    is_bound: bool = True,
 ) -> search.Draft | None:
     avoided = avoid(state, record, need)
 
@@ -122,6 +124,7 @@
         fill=fill_others if avoided else fill,
         new_draft=new_draft,
         first=first,
+        is_bound=is_bound,
     )
 
 
--- a/src/bronzequay/policy/search.py
+++ b/src/bronzequay/policy/search.py
@@ -105,6 +105,7 @@
     fill: Fill,
     new_draft: Callable[[], Draft],
     first: Iterable[fleet.RackKey] = (),
+    is_bound: bool = True,
 ) -> Draft | None:
     """Search for places for all members.
 
@@ -112,11 +113,14 @@
     :param fill: adds members on one worker
     :param new_draft: starts a plan
     :param first: racks to try before those of the index
+    :param is_bound: whether no place has room for more than the metric says
     :return: the cheapest plan of the narrowest place that has one
     """
     preferred = tuple(first)
     want = need.members * need.cpu if metric >= fleet.CPU_PLAIN else need.members
-    racks = (*preferred, *_near(flt.region.order[metric], want))
+    if is_bound and flt.region.sums[metric] < want:
+        return None
+    racks = (*preferred, *_near(flt.region.order[metric], want, is_bound=is_bound))
     places = [(key,) for key in racks]
     found = _cheapest(flt, need, places, fill, new_draft)
     if found is not None or need.members == 1:
@@ -124,7 +128,7 @@
     wide = [
         _descending(group.order[metric], [key for key in preferred if key[0] == centre])
         for centre, group in sorted(flt.centres.items())
-        if group.sums[metric] >= want or preferred
+        if not is_bound or group.sums[metric] >= want
     ]
     found = _cheapest(flt, need, wide, fill, new_draft)
     if found is not None or widest is not Scope.REGION:
@@ -133,8 +137,12 @@
     return _cheapest(flt, need, [whole], fill, new_draft)
 
 
-def _near(order: list[tuple[int, fleet.RackKey]], want: int) -> Iterator[fleet.RackKey]:
+def _near(
+    order: list[tuple[int, fleet.RackKey]], want: int, *, is_bound: bool
+) -> Iterator[fleet.RackKey]:
     start = bisect.bisect_left(order, (want,))
+    if is_bound and start == len(order):
+        return
     tight = order[start : start + MAX_TIGHT_RACKS]
     roomy = order[max(start + MAX_TIGHT_RACKS, len(order) - MAX_ROOMY_RACKS) :]
     for _sum, key in (*tight, *roomy):
