--- a/src/bronzequay/policy/dispatch.py
+++ b/src/bronzequay/policy/dispatch.py
@@ -170,19 +170,22 @@
 def _ways(
     state: states.State, record: model.JobRecord, price: placement.Price
 ) -> Iterator[tuple[model.Share, Callable[[], search.Draft | None]]]:
-    """Yield the ways in which a job may run: inside its guarantee, then beyond it."""
+    """Yield the ways in which a job may run.
+
+    Work that can be reclaimed borrows first, which leaves guarantees to work that cannot.
+    """
+    rules = state.rules.orgs.get(record.spec.org)
+    may_borrow = rules is not None and rules.may_borrow
+    if may_borrow and record.spec.reclaimable:
+        if price is placement.never:
+            yield model.Share.BORROWED, functools.partial(planning.borrowed, state, record)
+        else:
+            yield model.Share.BORROWED, functools.partial(planning.evicting, state, record, price)
     if planning.may_be_guaranteed(state, record):
         plan = functools.partial(planning.guaranteed, state, record, price)
         yield model.Share.GUARANTEED, plan
-    rules = state.rules.orgs.get(record.spec.org)
-    if rules is None or not rules.may_borrow:
-        return
-    if not record.spec.reclaimable:
+    if may_borrow and not record.spec.reclaimable:
         yield model.Share.FIXED, functools.partial(planning.fixed, state, record, price)
-    elif price is placement.never:
-        yield model.Share.BORROWED, functools.partial(planning.borrowed, state, record)
-    else:
-        yield model.Share.BORROWED, functools.partial(planning.evicting, state, record, price)
 
 
 def _enter(
