--- a/src/bronzequay/policy/dispatch.py
+++ b/src/bronzequay/policy/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -34,6 +35,8 @@
 """The same for gangs that have waited too long."""
 AGED_S = 1_800.0
 """Waiting time beyond its rank's delay that makes a job aged, in seconds."""
+MAX_MIGRATIONS = 4
+"""Gangs for which others are being moved at once."""
 WALK_PERIOD_S = 15.0
 """Shortest time between two walks that only time has given a reason for, in seconds."""
 
@@ -204,12 +207,14 @@
     """A reason for which a job may have others stopped.
 
     :param bound_s: time that those have to keep their progress
+    :param max_cost: lost work that the start is worth, in accelerator seconds
     """
 
     name: str
     price: placement.Price
     bound_s: float
     is_guarantee: bool = False
+    max_cost: float = math.inf
 
 
 def _by_evicting(
@@ -226,7 +231,8 @@
                 continue
             one.evicting_tries -= 1
             draft = plan()
-            if draft is None or not _enter(state, record, share, draft):
+            is_worth = draft is not None and draft.cost <= right.max_cost
+            if draft is None or not is_worth or not _enter(state, record, share, draft):
                 state.blocked[key] = state.fleet.freed
                 continue
             yield from _claim(state, record, share, draft, right, now_s=one.now_s)
@@ -264,7 +270,10 @@
         yield Right("floor", price, bound_s)
     if is_under:
         yield Right("fair share", preemption.for_due(state, now_s), bound_s)
-    if is_aged(state, record, now_s) and _aged_claims(state) < MAX_AGED_CLAIMS:
+    if _claims_by(state, "migration") < MAX_MIGRATIONS and planning.fits_by_count(state, record):
+        price = preemption.for_migration(state, now_s, record)
+        yield Right("migration", price, bound_s, max_cost=preemption.worth(state, record))
+    if is_aged(state, record, now_s) and _claims_by(state, "aged") < MAX_AGED_CLAIMS:
         yield Right("aged", preemption.for_aged(state, now_s, record), bound_s)
 
 
@@ -273,8 +282,8 @@
     return now_s - state.queues.ranks[record.job] > AGED_S
 
 
-def _aged_claims(state: states.State) -> int:
-    return sum(claim.right == "aged" for claim in state.claims.values())
+def _claims_by(state: states.State, right: str) -> int:
+    return sum(claim.right == right for claim in state.claims.values())
 
 
 def _claim(
--- a/src/bronzequay/policy/planning.py
+++ b/src/bronzequay/policy/planning.py
@@ -93,6 +93,13 @@
     return room >= need.members
 
 
+def fits_by_count(state: states.State, record: model.JobRecord) -> bool:
+    """Return whether as many accelerators are free as a gang takes, wherever they are."""
+    need = placement.need_of(record)
+    free = state.fleet.region.sums[fleet.FREE]
+    return 0 < need.members * need.accelerators <= free
+
+
 def _open_metric(need: search.Need) -> int:
     if not need.accelerators:
         return fleet.CPU_ANY
@@ -158,6 +165,7 @@
     "avoid",
     "borrowed",
     "evicting",
+    "fits_by_count",
     "fixed",
     "guaranteed",
     "may_be_guaranteed",
--- a/src/bronzequay/policy/preemption.py
+++ b/src/bronzequay/policy/preemption.py
@@ -28,6 +28,9 @@
 MIN_RUN_S = 60.0
 """Run time before a gang is stopped for the sake of fair shares or aging, in seconds."""
 
+MAX_WORTH_S = 600.0
+"""Longest wait that the gangs moved for a start are weighed against, in seconds."""
+
 _STOPPING = frozenset({model.JobState.RECLAIMING, model.JobState.CANCELLING})
 _ACTIVE = frozenset({model.JobState.STARTING, model.JobState.RUNNING})
 
@@ -44,10 +47,8 @@
     ran_s = now_s - record.started_s if record.started_s is not None else 0.0
     if record.state is model.JobState.STARTING:
         ran_s = 0.0
-    need = placement.need_of(record)
-    width = need.members * max(need.accelerators, 1)
     factor = 1.0 if record.spec.idempotent else NON_IDEMPOTENT_FACTOR
-    return width * factor * (RESTART_COST_S + CHECKPOINT_RISK * max(0.0, ran_s))
+    return _width(record) * factor * (RESTART_COST_S + CHECKPOINT_RISK * max(0.0, ran_s))
 
 
 def _priced(
@@ -115,6 +116,32 @@
     return _priced(state, now_s, may_stop)
 
 
+def for_migration(state: states.State, now_s: float, moved_for: model.JobRecord) -> placement.Price:
+    """Return the price for a gang that fits by count: smaller borrowers may be moved away."""
+    width = _width(moved_for)
+
+    def may_stop(record: model.JobRecord) -> bool:
+        is_urgent = record.spec.urgency is model.Urgency.URGENT
+        return 2 * _width(record) <= width and not is_urgent and has_run(record, now_s)
+
+    return _priced(state, now_s, may_stop)
+
+
+def worth(state: states.State, record: model.JobRecord) -> float:
+    """Return the lost work that a start now is worth, in accelerator seconds.
+
+    A gang that fits by count but not by place leaves its accelerators idle for the time it
+    waits, which is taken to be as long as its own run time, up to a limit.
+    """
+    wait_s = min(MAX_WORTH_S, ordering.predicted_s(state.queues, record))
+    return _width(record) * wait_s
+
+
+def _width(record: model.JobRecord) -> int:
+    need = placement.need_of(record)
+    return need.members * max(need.accelerators, 1)
+
+
 def has_run(record: model.JobRecord, now_s: float) -> bool:
     """Return whether a gang has run long enough to be stopped for more than a guarantee."""
     is_running = record.state is model.JobState.RUNNING and record.started_s is not None
@@ -162,6 +189,7 @@
     "for_due",
     "for_floor",
     "for_guarantee",
+    "for_migration",
     "for_urgent",
     "has_run",
     "is_above_floor",
@@ -170,4 +198,5 @@
     "loss",
     "overdue",
     "reclaim",
+    "worth",
 ]
