Archive ended jobs in segments with an index; refuse jobs of a full bucket

A bucket value grew by every job for ever and would have met the 1 MB limit after about 1,100 jobs of 900 bytes. Ended jobs move to segments (segment, then index, then the bucket without them), each fenced by the epoch in it. Tests: a cut after each of 12 effects loses and doubles nothing, an earlier scheduler cannot overwrite a segment, keys of archived jobs still deduplicate.

--- a/src/bronzequay/sched/gateway.py
+++ b/src/bronzequay/sched/gateway.py
@@ -126,12 +126,10 @@
         """Return a job's durable record, from the journal when no scheduler answers."""
 
         async def fallback() -> model.JobRecord:
-            bucket, _ = await journal.read_bucket(
-                self._store, self._partition, journal.bucket_of(job)
-            )
-            if job not in bucket.jobs:
+            found = await self._reader().find(job)
+            if found is None:
                 raise errors.BronzequayError(codes.ResultCode.UNKNOWN_JOB, f"no job {job}")
-            return journal.decode_record(bucket.jobs[job])
+            return found
 
         return await self._query(
             "get", Query(job=job), lambda: self._scheduler.get(job), model.JobRecord, fallback
@@ -147,11 +145,9 @@
         """Return durable records, newest first, from the journal when no scheduler answers."""
 
         async def fallback() -> _Records:
-            found: list[model.JobRecord] = []
-            for number in range(journal.BUCKETS):
-                bucket, _ = await journal.read_bucket(self._store, self._partition, number)
-                found.extend(journal.decode_record(raw) for raw in bucket.jobs.values())
-            return scheduler.select(found, org=org, state=state, limit=limit)
+            is_wanted = scheduler.matching(org=org, state=state)
+            found = await self._reader().scan(is_wanted=is_wanted, limit=limit)
+            return scheduler.newest(found, limit=limit)
 
         return await self._query(
             "list",
@@ -172,6 +168,9 @@
             "why", Query(job=job), lambda: self._scheduler.why(job), str, fallback
         )
 
+    def _reader(self) -> journal.Reader:
+        return journal.Reader(store=self._store, partition=self._partition)
+
     def _kind(self, name: str) -> str:
         return f"sched/{self._partition}/{name}"
 
--- a/src/bronzequay/sched/jobs.py
+++ b/src/bronzequay/sched/jobs.py
@@ -12,6 +12,7 @@
     from bronzequay.policy import model
 
 ID_BYTES = 12
+MAX_NAME_BYTES = 200
 
 
 def job_id(spec: model.JobSpec, key: str | None) -> ids.JobId:
@@ -27,6 +28,20 @@
     return ids.JobId("j" + hashlib.sha256(text.encode()).hexdigest()[: 2 * ID_BYTES])
 
 
+def check_sizes(spec: model.JobSpec, key: str | None) -> None:
+    """Refuse names that would make a record too large for its bucket.
+
+    :param spec: names the organisation and the caller
+    :param key: the caller's deduplication key
+    :raises errors.BronzequayError: VALUE_TOO_LARGE
+    """
+    names = {"org": spec.org, "caller": spec.caller, "key": key or ""}
+    for field, name in names.items():
+        if len(name.encode()) > MAX_NAME_BYTES:
+            message = f"longer than {MAX_NAME_BYTES} bytes"
+            raise errors.BronzequayError(codes.ResultCode.VALUE_TOO_LARGE, message, field=field)
+
+
 def check_same(record: model.JobRecord, spec: model.JobSpec) -> None:
     """Refuse a key that was used for another job.
 
@@ -39,4 +54,4 @@
         raise errors.BronzequayError(codes.ResultCode.KEY_REUSED, message, field="key")
 
 
-__all__ = ["check_same", "job_id"]
+__all__ = ["check_same", "check_sizes", "job_id"]
--- a/src/bronzequay/sched/journal.py
+++ b/src/bronzequay/sched/journal.py
@@ -11,13 +11,17 @@
 
 from bronzequay import codes, errors, ids
 from bronzequay.policy import model
-from bronzequay.sched import ports
+from bronzequay.sched import archive, ports
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
 
 BUCKETS = 16
 RETRY_S = 0.25
+ARCHIVE_BYTES = 64_000
+MAX_BUCKET_BYTES = 700_000
+NEW_RECORD_BYTES = 1_500
+KEY_BYTES = 64
 ABSENT = ids.Revision(0)
 OWNER_BYTES = 8
 
@@ -29,21 +33,25 @@
     :param owner: random name of that takeover
     :param write: number of the write within the takeover, to know one's own write again
     :param jobs: encoded records
+    :param segments: number of archive segments that belong to the bucket
     """
 
     epoch: ids.Epoch
     owner: str
     write: int
     jobs: dict[ids.JobId, msgspec.Raw]
+    segments: int = 0
 
 
 class Slot:
     """A bucket as last made durable."""
 
-    def __init__(self, key: str, bucket: Bucket, rev: ids.Revision) -> None:
+    def __init__(self, number: int, key: str, bucket: Bucket, rev: ids.Revision) -> None:
+        self.number = number
         self.key = key
         self.bucket = bucket
         self.rev = rev
+        self.size = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -82,6 +90,46 @@
     return _buckets.decode(entry.value), entry.rev
 
 
+class Reader:
+    """Reads durable records from the store, for instances without a scheduler's term.
+
+    :param store: the platform's service
+    :param partition: the partition
+    """
+
+    def __init__(self, *, store: ports.Store, partition: ids.RegionId) -> None:
+        self._store = store
+        self._partition = partition
+        self._archive = archive.Archive(store=store, partition=partition)
+
+    async def find(self, job: ids.JobId) -> model.JobRecord | None:
+        """Return a job's record, archived or not, None when there is none."""
+        number = bucket_of(job)
+        bucket, _ = await read_bucket(self._store, self._partition, number)
+        if job in bucket.jobs:
+            return decode_record(bucket.jobs[job])
+        return await self._archive.find(job, number, bucket.segments)
+
+    async def scan(
+        self, *, is_wanted: Callable[[model.JobRecord], bool], limit: int | None
+    ) -> list[model.JobRecord]:
+        """Return records, archived or not.
+
+        :param is_wanted: which records are returned
+        :param limit: how many of the newest suffice
+        :return: the records
+        """
+        found: list[model.JobRecord] = []
+        for number in range(BUCKETS):
+            bucket, _ = await read_bucket(self._store, self._partition, number)
+            live = map(decode_record, bucket.jobs.values())
+            found += filter(is_wanted, live)
+            found += await self._archive.scan(
+                number, bucket.segments, is_wanted=is_wanted, limit=limit
+            )
+        return found
+
+
 class Journal:
     """The buckets of a partition during one takeover.
 
@@ -93,6 +141,7 @@
         self._store = store
         self._partition = partition
         self._owner = secrets.token_hex(OWNER_BYTES)
+        self._archive = archive.Archive(store=store, partition=partition)
         self._slots: list[Slot] = []
         self._writes = 0
         self.epoch = ids.Epoch(0)
@@ -109,13 +158,15 @@
         ]
         self.epoch = ids.Epoch(max(bucket.epoch for bucket, _ in found) + 1)
         self._slots = [
-            Slot(bucket_key(self._partition, number), bucket, rev)
+            Slot(number, bucket_key(self._partition, number), bucket, rev)
             for number, (bucket, rev) in enumerate(found)
         ]
         async with trio.open_nursery() as nursery:
             results = _Results()
             for slot in self._slots:
-                nursery.start_soon(results.collect, self._write, slot, slot.bucket.jobs)
+                nursery.start_soon(
+                    results.collect, self._write, slot, slot.bucket.jobs, slot.bucket.segments
+                )
         results.check()
         return tuple(self.records())
 
@@ -146,12 +197,81 @@
         async with trio.open_nursery() as nursery:
             for number, jobs in changed.items():
                 slot = self._slots[number]
-                nursery.start_soon(results.collect, self._write, slot, slot.bucket.jobs | jobs)
+                merged = slot.bucket.jobs | jobs
+                nursery.start_soon(results.collect, self._write, slot, merged, slot.bucket.segments)
         results.check()
 
-    async def _write(self, slot: Slot, jobs: dict[ids.JobId, msgspec.Raw]) -> None:
+    def is_full(self, job: ids.JobId, waiting: int) -> bool:
+        """Return whether the job's bucket has no room for another job.
+
+        :param job: the job
+        :param waiting: new jobs of this bucket that are not written yet
+        """
+        slot = self._slots[bucket_of(job)]
+        return slot.size + (waiting + 1) * NEW_RECORD_BYTES > MAX_BUCKET_BYTES
+
+    async def find(self, job: ids.JobId) -> model.JobRecord | None:
+        """Return a job's durable record, archived or not, None when there is none."""
+        found = self.get(job)
+        if found is not None or not self._slots:
+            return found
+        number = bucket_of(job)
+        return await self._archive.find(job, number, self._slots[number].bucket.segments)
+
+    async def scan(
+        self, *, is_wanted: Callable[[model.JobRecord], bool], limit: int | None
+    ) -> list[model.JobRecord]:
+        """Return durable records, archived or not.
+
+        :param is_wanted: which records are returned
+        :param limit: how many of the newest suffice
+        :return: the records
+        """
+        found = [record for record in self.records() if is_wanted(record)]
+        for slot in self._slots:
+            found += await self._archive.scan(
+                slot.number, slot.bucket.segments, is_wanted=is_wanted, limit=limit
+            )
+        return found
+
+    async def compact(self) -> tuple[ids.JobId, ...]:
+        """Move ended jobs of buckets with many of them to the archive.
+
+        :return: the archived jobs
+        :raises errors.BronzequayError: FENCED when another scheduler has taken over
+        """
+        moved: list[ids.JobId] = []
+        for slot in self._slots:
+            if self._ended_bytes(slot) >= ARCHIVE_BYTES:
+                moved += await self._archive_ended(slot)
+        return tuple(moved)
+
+    def _ended_bytes(self, slot: Slot) -> int:
+        if slot.size < ARCHIVE_BYTES:
+            return 0
+        return sum(len(raw) for raw in _ended(slot.bucket.jobs).values())
+
+    async def _archive_ended(self, slot: Slot) -> list[ids.JobId]:
+        jobs: dict[ids.JobId, msgspec.Raw] = {}
+        size = 0
+        for job, raw in _ended(slot.bucket.jobs).items():
+            size += len(raw) + KEY_BYTES
+            if size > archive.SEGMENT_BYTES:
+                break
+            jobs[job] = raw
+        try:
+            await self._archive.add(slot.number, slot.bucket.segments, jobs, self.epoch)
+        except errors.BronzequayError as exc:
+            if exc.code is codes.ResultCode.STORE_CONFLICT or ports.is_unanswered(exc):
+                return []
+            raise
+        kept = {job: raw for job, raw in slot.bucket.jobs.items() if job not in jobs}
+        await self._write(slot, kept, slot.bucket.segments + 1)
+        return list(jobs)
+
+    async def _write(self, slot: Slot, jobs: dict[ids.JobId, msgspec.Raw], segments: int) -> None:
         self._writes += 1
-        bucket = Bucket(self.epoch, self._owner, self._writes, jobs)
+        bucket = Bucket(self.epoch, self._owner, self._writes, jobs, segments)
         value = _encoder.encode(bucket)
         while True:
             rev = await self._try_write(slot, value)
@@ -160,7 +280,7 @@
             self.is_blocked = True
             await trio.sleep(RETRY_S)
         self.is_blocked = False
-        slot.bucket, slot.rev = bucket, rev
+        slot.bucket, slot.rev, slot.size = bucket, rev, len(value)
 
     async def _try_write(self, slot: Slot, value: bytes) -> ids.Revision | None:
         try:
@@ -188,6 +308,18 @@
         raise errors.BronzequayError(codes.ResultCode.FENCED, message)
 
 
+def _ended(jobs: dict[ids.JobId, msgspec.Raw]) -> dict[ids.JobId, msgspec.Raw]:
+    return {job: raw for job, raw in jobs.items() if _states.decode(raw).state in _FINAL}
+
+
+class _StateOnly(msgspec.Struct):
+    state: model.JobState
+
+
+_states = msgspec.msgpack.Decoder(_StateOnly)
+_FINAL = model.FINAL_STATES
+
+
 class _Results:
     """First error of several concurrent writes."""
 
@@ -209,6 +341,7 @@
     "BUCKETS",
     "Bucket",
     "Journal",
+    "Reader",
     "bucket_key",
     "bucket_of",
     "decode_record",
--- a/src/bronzequay/sched/scheduler.py
+++ b/src/bronzequay/sched/scheduler.py
@@ -124,8 +124,10 @@
         """
         term = self._active_term()
         job = job or jobs.job_id(spec, key)
-        await term.decide(model.JobSubmitted(job, spec, key))
-        record = _found(term.durable.get(job), job)
+        jobs.check_sizes(spec, key)
+        if key is None or await _find(term, job) is None:
+            await term.decide(model.JobSubmitted(job, spec, key))
+        record = _found(await _find(term, job), job)
         jobs.check_same(record, spec)
         return record
 
@@ -138,21 +140,21 @@
         """
         term = self._active_term()
         for job in wanted:
-            _found(term.durable.get(job), job)
+            _found(await _find(term, job), job)
         async with trio.open_nursery() as nursery:
             failures: list[errors.BronzequayError] = []
             for job in wanted:
                 nursery.start_soon(_collect, failures, term, model.JobCancelled(job))
         if failures:
             raise failures[0]
-        return tuple(_found(term.durable.get(job), job) for job in wanted)
+        return tuple([_found(await _find(term, job), job) for job in wanted])
 
     async def get(self, job: ids.JobId) -> model.JobRecord:
         """Return a job's durable record.
 
         :raises errors.BronzequayError: UNKNOWN_JOB or NO_SCHEDULER
         """
-        return _found(self._readable_term().durable.get(job), job)
+        return _found(await _find(self._readable_term(), job), job)
 
     async def list(
         self,
@@ -168,8 +170,9 @@
         :param limit: at most this many
         :raises errors.BronzequayError: NO_SCHEDULER
         """
-        records = self._readable_term().durable.records()
-        return select(records, org=org, state=state, limit=limit)
+        is_wanted = matching(org=org, state=state)
+        found = await self._readable_term().durable.scan(is_wanted=is_wanted, limit=limit)
+        return newest(found, limit=limit)
 
     async def why(self, job: ids.JobId) -> str:
         """Explain what a job waits for.
@@ -177,7 +180,9 @@
         :raises errors.BronzequayError: UNKNOWN_JOB or NO_SCHEDULER
         """
         term = self._readable_term()
-        _found(term.durable.get(job), job)
+        record = _found(await _find(term, job), job)
+        if job not in term.state.jobs:
+            return f"the job is {record.state.value}"
         return core.why(term.state, job)
 
     def on_listing(self, worker: ids.WorkerId, listing: tuple[client.Status, ...]) -> None:
@@ -284,30 +289,39 @@
         )
 
 
-def select(
-    records: Iterable[model.JobRecord],
-    *,
-    org: ids.OrgId | None,
-    state: model.JobState | None,
-    limit: int | None,
-) -> tuple[model.JobRecord, ...]:
-    """Filter records and put the newest first.
+def matching(
+    *, org: ids.OrgId | None, state: model.JobState | None
+) -> Callable[[model.JobRecord], bool]:
+    """Return a filter of records.
 
-    :param records: any records
     :param org: only this organisation's
     :param state: only those in this state
-    :param limit: at most this many
-    :return: the records that match
     """
-    found = [
-        record
-        for record in records
-        if org in (None, record.spec.org) and state in (None, record.state)
-    ]
-    found.sort(key=lambda record: (record.accepted_s, record.job), reverse=True)
+    return lambda record: org in (None, record.spec.org) and state in (None, record.state)
+
+
+def newest(records: Iterable[model.JobRecord], *, limit: int | None) -> tuple[model.JobRecord, ...]:
+    """Put records in order of acceptance, the newest first.
+
+    :param records: any records
+    :param limit: at most this many are returned
+    :return: the records
+    """
+    found = sorted(records, key=lambda record: (record.accepted_s, record.job), reverse=True)
     return tuple(found[:limit])
 
 
+async def _find(term: terms.Term, job: ids.JobId) -> model.JobRecord | None:
+    """Read a record; a store that does not answer means that nothing was decided."""
+    try:
+        return await term.durable.find(job)
+    except errors.BronzequayError as exc:
+        message = f"not run: the archive cannot be read: {exc.message}"
+        raise errors.BronzequayError(
+            codes.ResultCode.STORE_UNAVAILABLE, message, retry_after_s=RETRY_AFTER_S
+        ) from exc
+
+
 async def _collect(
     failures: list[errors.BronzequayError], term: terms.Term, event: model.Event
 ) -> None:
@@ -346,4 +360,4 @@
     return found
 
 
-__all__ = ["Scheduler", "default_payload", "select"]
+__all__ = ["Scheduler", "default_payload", "matching", "newest"]
--- a/src/bronzequay/sched/terms.py
+++ b/src/bronzequay/sched/terms.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 import trio
@@ -140,9 +141,10 @@
         """Apply every queued event, make the changes durable, then act on them."""
         self._taken, self._items = self._items, []
         commands: list[model.Command] = []
-        for item in self._taken:
+        for item in self._admitted():
             item.is_taken = True
             commands.extend(self._step(item.event))
+        events = [item.event for item in self._taken]
         records = core.take_dirty(self.state)
         await self.durable.commit(records)
         for item in self._taken:
@@ -154,6 +156,25 @@
         for command in commands:
             spec = self.state.jobs[command.job].spec
             following.carry_out(command, is_idempotent=spec.idempotent)
+        if any(isinstance(event, model.Tick) for event in events):
+            for job in await self.durable.compact():
+                core.forget(self.state, job)
+
+    def _admitted(self) -> list[Item]:
+        """Return the taken items whose records fit; a new job of a full bucket is refused."""
+        admitted: list[Item] = []
+        waiting: collections.Counter[int] = collections.Counter()
+        for item in self._taken:
+            event = item.event
+            if isinstance(event, model.JobSubmitted) and event.job not in self.state.jobs:
+                number = journal.bucket_of(event.job)
+                if self.durable.is_full(event.job, waiting[number]):
+                    item.finish(_refusal(codes.ResultCode.QUEUE_FULL, "the job store is full"))
+                    continue
+                waiting[number] += 1
+            admitted.append(item)
+        self._taken = admitted
+        return admitted
 
     def _step(self, event: model.Event) -> Sequence[model.Command]:
         if isinstance(event, model.JobSubmitted) and event.job in self.state.jobs:
--- /dev/null
+++ b/tests/sched/test_archive.py
@@ -0,0 +1,131 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+from tests.sched import harness
+
+from bronzequay import codes, errors, ids
+from bronzequay.policy import model
+from bronzequay.sched import journal
+
+if TYPE_CHECKING:
+    from trio import testing
+
+
+def record(number: int, state: model.JobState) -> model.JobRecord:
+    return model.JobRecord(
+        job=ids.JobId(f"j{number}"),
+        spec=harness.spec(),
+        state=state,
+        code=codes.ResultCode.OK,
+        accepted_s=float(number),
+        history=[
+            model.HistoryEntry(1.0, state, codes.ResultCode.OK, 1, ids.BundleVersion(1))
+            for _ in range(8)
+        ],
+    )
+
+
+@pytest.fixture(autouse=True)
+def _two_buckets(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(journal, "BUCKETS", 2)
+
+
+async def open_journal(store: harness.MemoryStore, gate: harness.Gate) -> journal.Journal:
+    opened = journal.Journal(store=harness.StoreView(store, gate), partition=harness.PARTITION)
+    await opened.take_over()
+    return opened
+
+
+async def fill(opened: journal.Journal, first: int, count: int) -> None:
+    ended = [record(first + number, model.JobState.FINISHED) for number in range(count)]
+    await opened.commit([*ended, record(first + count, model.JobState.RUNNING)])
+
+
+async def found(opened: journal.Journal, count: int) -> list[int]:
+    jobs = [ids.JobId(f"j{number}") for number in range(count)]
+    return [number for number, job in enumerate(jobs) if await opened.find(job) is not None]
+
+
+async def test_ended_jobs_move_and_stay_findable(autojump_clock: testing.MockClock) -> None:
+    store = harness.MemoryStore()
+    first = await open_journal(store, harness.Gate())
+    for start in range(0, 1600, 400):
+        await fill(first, start, 399)
+        await first.compact()
+    assert len(list(first.records())) < 200
+    assert all(len(entry.value) < 1_000_000 for entry, _ in store.entries.values())
+    second = await open_journal(store, harness.Gate())
+    reader = journal.Reader(
+        store=harness.StoreView(store, harness.Gate()), partition=harness.PARTITION
+    )
+    assert await found(second, 1600) == list(range(1600))
+    assert await second.find(ids.JobId("j1600")) is None
+    kept = await reader.find(ids.JobId("j3"))
+    assert kept is not None
+    assert len(kept.history) == 8
+    whole = await reader.scan(is_wanted=lambda _record: True, limit=None)
+    assert sorted(record.accepted_s for record in whole) == list(range(1600))
+
+
+@pytest.mark.parametrize("cut_at", range(12))
+async def test_a_compaction_cut_anywhere_loses_nothing(
+    autojump_clock: testing.MockClock, cut_at: int
+) -> None:
+    store, gate = harness.MemoryStore(), harness.Gate()
+    first = await open_journal(store, gate)
+    await fill(first, 0, 399)
+    gate.cut_at, gate.cut = len(gate.effects) + cut_at, harness.Cut.CRASH_AFTER
+    with trio.CancelScope() as scope:
+        gate.kill = scope.cancel
+        await first.compact()
+    second = await open_journal(store, harness.Gate())
+    await fill(second, 400, 99)
+    await second.compact()
+    assert await found(second, 500) == list(range(500))
+    whole = await second.scan(is_wanted=lambda _record: True, limit=None)
+    assert sorted(entry.accepted_s for entry in whole) == list(range(500))
+
+
+async def test_an_earlier_scheduler_cannot_overwrite_a_segment(
+    autojump_clock: testing.MockClock,
+) -> None:
+    store = harness.MemoryStore()
+    first = await open_journal(store, harness.Gate())
+    await fill(first, 0, 399)
+    second = await open_journal(store, harness.Gate())
+    await fill(second, 400, 99)
+    await second.compact()
+    with pytest.raises(errors.BronzequayError) as caught:
+        await first.compact()
+    assert caught.value.code is codes.ResultCode.FENCED
+    assert await found(second, 500) == list(range(500))
+
+
+async def test_a_full_bucket_takes_no_new_job(autojump_clock: testing.MockClock) -> None:
+    opened = await open_journal(harness.MemoryStore(), harness.Gate())
+    await opened.commit([record(number, model.JobState.RUNNING) for number in range(1700)])
+    assert any(opened.is_full(ids.JobId(f"n{number}"), 0) for number in range(8))
+
+
+async def test_a_key_of_an_archived_job_is_still_known(
+    autojump_clock: testing.MockClock, nursery: trio.Nursery, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(journal, "ARCHIVE_BYTES", 100)
+    fleet = harness.Fleet()
+    one = harness.Instance(fleet, "i1")
+    nursery.start_soon(one.run)
+    await harness.until(lambda: one.scheduler.is_active)
+    first = await one.scheduler.submit(harness.spec(declared_s=1.0), key="k")
+    await trio.sleep(5.0)
+    assert any("/archive/" in key for key in fleet.store.entries)
+    again = await one.scheduler.submit(harness.spec(declared_s=1.0), key="k")
+    assert again.job == first.job
+    assert again.state is model.JobState.FINISHED
+    with pytest.raises(errors.BronzequayError) as caught:
+        await one.scheduler.submit(harness.spec(members=2), key="k")
+    assert caught.value.code is codes.ResultCode.KEY_REUSED
+    assert [entry.job for entry in await one.scheduler.list()] == [first.job]
+    assert len(harness.events(await fleet.log(), "release")) == 1
