--- a/src/bronzequay/fakes/worker.py
+++ b/src/bronzequay/fakes/worker.py
@@ -117,20 +117,19 @@
     if worker is None:
         return _response(404, {"error": "no such worker"})
     body: bytes = await quart.request.get_data(as_text=False)  # type: ignore[assignment]
-    if handler in (_set_faults, _log):
-        return _response(200, await handler(worker, body))
-    if worker.faults.silent:
+    is_steering = handler in (_set_faults, _log)
+    if worker.faults.silent and not is_steering:
         await trio.sleep_forever()
-    if worker.faults.down:
+    if worker.faults.down and not is_steering:
         return _response(503, {"error": "down"})
-    await trio.sleep(worker.faults.delay_s)
+    await trio.sleep(0.0 if is_steering else worker.faults.delay_s)
     try:
         answer = await handler(worker, body)
     except EpochError as exc:
         return _response(409, {"error": str(exc)})
     except msgspec.DecodeError as exc:
         return _response(400, {"error": str(exc)})
-    if worker.faults.silent or _is_answer_lost(worker):
+    if not is_steering and (worker.faults.silent or _is_answer_lost(worker)):
         await trio.sleep_forever()
     return _response(200, answer)
 
