--- a/src/bronzequay/fakes/worker.py
+++ b/src/bronzequay/fakes/worker.py
@@ -247,7 +247,7 @@
     for at_s, name, state in due:
         if at_s > now_s:
             return
-        _set(worker, at_s, worker.tasks[ids.TaskId(name)], OUTCOMES[state])
+        _set(worker, at_s, worker.tasks[ids.TaskId(name)], TaskState(state))
 
 
 def _due(task: Task) -> tuple[float, str, str]:
@@ -257,7 +257,8 @@
     if task.running_since_s is None:
         return lapse
     left_s = max(0.0, payload.actual_s - task.spec.resume_s - task.ran_s)
-    end = (task.running_since_s + left_s, task.spec.task, payload.outcome)
+    outcome = OUTCOMES[payload.outcome].value
+    end = (task.running_since_s + left_s, task.spec.task, outcome)
     return min(lapse, end)
 
 
