Bound starts that fail before release; a job that must run once resumes only from a proven checkpoint

Cause: the shell tells a member that failed before release as TASK_FAILED, and the core bounded only START_FAILED: one bad worker made it start the job for ever at one instant (tests/sched hung). Cause of the second: a stop asked as a checkpoint counted as kept although the checkpoint had not succeeded, so a non-idempotent job could start again from nothing. GangStopped now says whether every member's checkpoint succeeded.

--- a/src/bronzequay/fakes/worker.py
+++ b/src/bronzequay/fakes/worker.py
@@ -230,6 +230,7 @@
         "epoch": task.spec.epoch,
         "state": task.state.value,
         "ran_s": task.ran_s,
+        "resume_s": task.spec.resume_s,
     }
     worker.log.append(entry)
     del worker.log[:-LOG_ENTRIES]
--- a/src/bronzequay/policy/health.py
+++ b/src/bronzequay/policy/health.py
@@ -91,7 +91,7 @@
 
     :return: whether the worker is to be quarantined
     """
-    if fault not in _COUNTED:
+    if fault not in COUNTED:
         return Verdict.KEEP
     on = health.failed_on.setdefault(job, {})
     on[worker] = on.get(worker, 0) + 1
@@ -102,7 +102,7 @@
     return _judge(health, entry)
 
 
-_COUNTED = frozenset({model.MemberFault.START_FAILED, model.MemberFault.TASK_FAILED})
+COUNTED = frozenset({model.MemberFault.START_FAILED, model.MemberFault.TASK_FAILED})
 
 
 def _judge(health: Health, entry: WorkerHealth) -> Verdict:
@@ -180,6 +180,7 @@
 
 
 __all__ = [
+    "COUNTED",
     "MAX_TASK_FAILURES",
     "Health",
     "Verdict",
--- a/src/bronzequay/policy/lifecycle.py
+++ b/src/bronzequay/policy/lifecycle.py
@@ -146,7 +146,7 @@
             _via_cancelling(state, record, now_s)
         states.move(state, record, model.JobState.CANCELLED, code, now_s)
         return ()
-    failure = _end_code(state, record, event.kept_s)
+    failure = _end_code(state, record, is_kept=event.is_kept or event.kept_s > 0)
     if failure is not None:
         states.move(state, record, model.JobState.FAILED, failure, now_s)
         return ()
@@ -161,15 +161,14 @@
 
 
 def _end_code(
-    state: states.State, record: model.JobRecord, kept_s: float
+    state: states.State, record: model.JobRecord, *, is_kept: bool
 ) -> codes.ResultCode | None:
     """Return the code with which a stopped gang has failed, or None if it may start again."""
     fault = record.fault
     if not was_released(record):
-        is_bad = fault is model.MemberFault.START_FAILED and health.is_job_bad(state.health, record)
+        is_bad = fault in health.COUNTED and health.is_job_bad(state.health, record)
         return codes.ResultCode.RETRIES_EXHAUSTED if is_bad else None
     if fault is None:
-        is_kept = record.stop is model.StopMode.CHECKPOINT or kept_s > 0
         lost = codes.ResultCode.RECLAIMED if record.stop else codes.ResultCode.WORKER_LOST
         return None if is_kept or record.spec.idempotent else lost
     if not record.spec.idempotent:
--- a/src/bronzequay/policy/model.py
+++ b/src/bronzequay/policy/model.py
@@ -223,11 +223,13 @@
     """Every member of the attempt is known to be stopped.
 
     :param kept_s: run time of this attempt that a checkpoint kept, in seconds
+    :param is_kept: whether checkpoints of every member succeeded
     """
 
     job: ids.JobId
     attempt: int
     kept_s: float = 0.0
+    is_kept: bool = False
 
 
 class GangUnknown(msgspec.Struct, frozen=True):
--- a/src/bronzequay/sched/attempt.py
+++ b/src/bronzequay/sched/attempt.py
@@ -98,10 +98,14 @@
 
     def kept_s(self) -> float:
         """Return the run time that checkpoints of every member have kept, in seconds."""
-        ended = self.statuses.values()
-        if any(status.state is not client.TaskState.CHECKPOINTED for status in ended):
+        if not self.is_checkpointed():
             return 0.0
-        return min(status.ran_s for status in ended)
+        return min(status.ran_s for status in self.statuses.values())
+
+    def is_checkpointed(self) -> bool:
+        """Return whether a checkpoint of every member succeeded."""
+        kept = client.TaskState.CHECKPOINTED
+        return all(status.state is kept for status in self.statuses.values())
 
     def nudge(self) -> None:
         """Have the attempt's driver look again."""
--- a/src/bronzequay/sched/gang.py
+++ b/src/bronzequay/sched/gang.py
@@ -160,7 +160,8 @@
     if gang.is_whole():
         shell.emit(model.GangFinished(gang.job, gang.number))
     else:
-        shell.emit(model.GangStopped(gang.job, gang.number, gang.kept_s()))
+        stopped = model.GangStopped(gang.job, gang.number, gang.kept_s(), gang.is_checkpointed())
+        shell.emit(stopped)
 
 
 async def _learn(shell: Shell, gang: attempts.Attempt, worker: ids.WorkerId) -> None:
--- a/tests/api/test_admin.py
+++ b/tests/api/test_admin.py
@@ -3,10 +3,10 @@
 from typing import TYPE_CHECKING
 
 import pytest
-from tests.api.conftest import bundle_text
-from tests.api.test_jobs import bearer
 
 from bronzequay import codes
+from tests.api.conftest import bundle_text
+from tests.api.test_jobs import bearer
 
 if TYPE_CHECKING:
     import httpx
--- a/tests/api/test_jobs.py
+++ b/tests/api/test_jobs.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     import httpx
     import trio
+
     from tests.api.conftest import FakeGateway
 
 Code = codes.ResultCode
--- a/tests/api/test_requests.py
+++ b/tests/api/test_requests.py
@@ -5,9 +5,9 @@
 
 import pytest
 import trio
-from tests.api import test_jobs
 
 from bronzequay import codes
+from tests.api import test_jobs
 
 if TYPE_CHECKING:
     import httpx
--- a/tests/cfg/test_follow.py
+++ b/tests/cfg/test_follow.py
@@ -2,12 +2,12 @@
 
 import pytest
 import trio
-from tests.cfg import test_rollout as steps
 
 from bronzequay import ids
 from bronzequay.cfg import follow, holder, rollout
 from bronzequay.fakes import platform
 from bronzequay.store import client, watch
+from tests.cfg import test_rollout as steps
 
 IN_FORCE_TARGET_S = 2.0
 CUT_WATCH_TARGET_S = 8.0
--- a/tests/policy/test_core_properties.py
+++ b/tests/policy/test_core_properties.py
@@ -5,7 +5,6 @@
 import pytest
 from hypothesis import HealthCheck, Phase, settings, stateful
 from hypothesis import strategies as st
-from tests.policy import world
 
 from bronzequay import ids
 from bronzequay.policy import (
@@ -18,6 +17,7 @@
     overuse,
 )
 from bronzequay.policy import state as states
+from tests.policy import world
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/route/test_attempts.py
+++ b/tests/route/test_attempts.py
@@ -4,9 +4,9 @@
 
 import pytest
 import trio
-from tests.route import fleet as fleets
 
 from bronzequay import codes, errors
+from tests.route import fleet as fleets
 
 if TYPE_CHECKING:
     from bronzequay import ids
--- a/tests/route/test_router.py
+++ b/tests/route/test_router.py
@@ -2,9 +2,9 @@
 
 import pytest
 import trio
-from tests.route import fleet as fleets
 
 from bronzequay import codes, errors
+from tests.route import fleet as fleets
 
 
 async def test_every_request_gets_its_own_answer_when_more_wait_than_fit(
--- a/tests/sched/test_archive.py
+++ b/tests/sched/test_archive.py
@@ -4,11 +4,11 @@
 
 import pytest
 import trio
-from tests.sched import harness
 
 from bronzequay import codes, errors, ids
 from bronzequay.policy import model
 from bronzequay.sched import journal
+from tests.sched import harness
 
 if TYPE_CHECKING:
     from trio import testing
--- a/tests/sched/test_crash_points.py
+++ b/tests/sched/test_crash_points.py
@@ -6,12 +6,12 @@
 
 import pytest
 import trio
-from tests.sched import checks, harness
 from trio import testing
 
 from bronzequay import codes, errors, ids
 from bronzequay.policy import model
 from bronzequay.sched import jobs, journal
+from tests.sched import checks, harness
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/tests/sched/test_journal.py
+++ b/tests/sched/test_journal.py
@@ -3,11 +3,11 @@
 from typing import TYPE_CHECKING
 
 import pytest
-from tests.sched import harness
 
 from bronzequay import codes, errors, ids
 from bronzequay.policy import model
 from bronzequay.sched import journal
+from tests.sched import harness
 
 if TYPE_CHECKING:
     from trio import testing
--- a/tests/sched/test_keepers.py
+++ b/tests/sched/test_keepers.py
@@ -4,9 +4,9 @@
 
 import pytest
 import trio
-from tests.sched import checks, harness
 
 from bronzequay.policy import model
+from tests.sched import checks, harness
 
 if TYPE_CHECKING:
     from trio import testing
--- a/tests/sched/test_scheduler.py
+++ b/tests/sched/test_scheduler.py
@@ -4,10 +4,10 @@
 
 import pytest
 import trio
-from tests.sched import harness
 
 from bronzequay import codes, errors
 from bronzequay.policy import model
+from tests.sched import harness
 
 if TYPE_CHECKING:
     from trio import testing
