--- a/src/bronzequay/sched/attempt.py
+++ b/src/bronzequay/sched/attempt.py
@@ -46,6 +46,7 @@
         self.number = number
         self.phase = phase
         self.is_idempotent = is_idempotent
+        self.stop_mode: model.StopMode | None = None
         self.was_released = phase is not Phase.STARTING
         self.is_verified = phase is Phase.STARTING
         self.by_worker: dict[ids.WorkerId, list[ids.TaskId]] = {}
@@ -92,6 +93,8 @@
         """Return the first member that ended other than well, None when there is none."""
         for task, status in self.statuses.items():
             fault = _FAULTS.get(status.state)
+            if fault is model.MemberFault.TASK_FAILED and not self.was_released:
+                fault = model.MemberFault.START_FAILED
             if fault is not None:
                 return model.MemberFailed(self.job, self.number, self.worker_of(task), fault)
         return None
--- a/src/bronzequay/sched/gang.py
+++ b/src/bronzequay/sched/gang.py
@@ -115,11 +115,16 @@
             if client.is_unreachable(exc) and trio.current_time() < until_s:
                 await trio.sleep(RETRY_S)
                 continue
+            is_refused = exc.code in _REFUSALS
+            state = client.TaskState.FAILED if is_refused else client.TaskState.UNKNOWN
             for start in starts:
-                gang.end(start.task, client.TaskState.UNKNOWN)
+                gang.end(start.task, state)
         return
 
 
+_REFUSALS = frozenset({codes.ResultCode.FENCED, codes.ResultCode.EXECUTOR_FAILED})
+
+
 async def _start_once(
     shell: Shell, worker: ids.WorkerId, starts: list[client.Start]
 ) -> tuple[client.Status, ...]:
@@ -139,19 +144,18 @@
     return lambda address, _names: workers.describe(address)
 
 
-async def stop(shell: Shell, gang: attempts.Attempt, mode: model.StopMode) -> None:
+async def stop(shell: Shell, gang: attempts.Attempt) -> None:
     """Stop every member and tell the core once all are known to be stopped.
 
     :param shell: the term's tools
-    :param gang: the attempt
-    :param mode: whether progress is kept
+    :param gang: the attempt, which says whether progress is kept
     """
     gang.scope.cancel()
     gang.phase = attempts.Phase.STOPPING
     silent: list[ids.WorkerId] = []
     async with trio.open_nursery() as nursery:
         for worker in gang.live_workers():
-            nursery.start_soon(_stop_on, shell, gang, worker, mode, silent)
+            nursery.start_soon(_stop_on, shell, gang, worker, silent)
     if silent and _may_be_whole(gang, silent):
         shell.emit(model.GangUnknown(gang.job, gang.number))
         for worker in silent:
@@ -193,13 +197,12 @@
     shell: Shell,
     gang: attempts.Attempt,
     worker: ids.WorkerId,
-    mode: model.StopMode,
     silent: list[ids.WorkerId],
 ) -> None:
     lapse_s: float | None = None
     while names := gang.live(worker):
         try:
-            await _stop_once(shell, gang, worker, names, mode)
+            await _stop_once(shell, gang, worker, names)
         except errors.BronzequayError:
             if lapse_s is None and await shell.withhold(names):
                 lapse_s = trio.current_time() + LAPSE_S
@@ -217,9 +220,8 @@
     gang: attempts.Attempt,
     worker: ids.WorkerId,
     names: list[ids.TaskId],
-    mode: model.StopMode,
 ) -> None:
-    if mode is model.StopMode.CHECKPOINT:
+    if gang.stop_mode is model.StopMode.CHECKPOINT:
         statuses = await shell.call(shell.workers.checkpoint, worker, names)
         gang.note(status for status in statuses if status.state is not client.TaskState.UNKNOWN)
         names = gang.live(worker)
--- a/src/bronzequay/sched/scheduler.py
+++ b/src/bronzequay/sched/scheduler.py
@@ -183,7 +183,7 @@
         record = _found(await _find(term, job), job)
         if job not in term.state.jobs:
             return f"the job is {record.state.value}"
-        return core.why(term.state, job)
+        return core.why(term.state, job).text
 
     def on_listing(
         self, worker: ids.WorkerId, listing: tuple[client.Status, ...]
--- a/src/bronzequay/sched/terms.py
+++ b/src/bronzequay/sched/terms.py
@@ -182,8 +182,6 @@
             return ()
         if isinstance(event, model.JobCancelled) and event.job not in self.state.jobs:
             return ()
-        if isinstance(event, model.WorkerLeaving) and event.worker not in self.state.workers:
-            return ()
         return core.step(self.state, event, now_s=self._wall_clock())
 
     async def _tick(self) -> None:
--- a/src/bronzequay/sched/watch.py
+++ b/src/bronzequay/sched/watch.py
@@ -58,10 +58,7 @@
         elif isinstance(command, model.ReleaseGang):
             self._release(command, is_idempotent=is_idempotent)
         else:
-            gang = self._get(command) or self._add(
-                command, attempts.Phase.STOPPING, is_idempotent=is_idempotent
-            )
-            self._spawn(gangs.stop, self._shell, gang, command.mode)
+            self._stop(command, is_idempotent=is_idempotent)
 
     def adopt(self, record: model.JobRecord) -> None:
         """Go on with an attempt of an earlier scheduler.
@@ -148,6 +145,17 @@
         gang.scope = trio.CancelScope()
         self._spawn(self._run, gang)
 
+    def _stop(self, command: model.StopGang, *, is_idempotent: bool) -> None:
+        """Stop an attempt once; a repeated command can only end the wait for a checkpoint."""
+        gang = self._get(command) or self._add(
+            command, attempts.Phase.STOPPING, is_idempotent=is_idempotent
+        )
+        if gang.stop_mode is None:
+            gang.stop_mode = command.mode
+            self._spawn(gangs.stop, self._shell, gang)
+        elif command.mode is model.StopMode.STOP:
+            gang.stop_mode = command.mode
+
     async def _run(self, gang: attempts.Attempt) -> None:
         """Keep members released while none is missing, else throttled."""
         with gang.scope:
--- a/tests/sched/test_gang.py
+++ b/tests/sched/test_gang.py
@@ -6,7 +6,7 @@
 import trio
 from tests.sched import checks, harness
 
-from bronzequay.policy import model
+from bronzequay.policy import health, model
 from bronzequay.sched import gang
 from bronzequay.work import keeper
 
@@ -37,10 +37,11 @@
     one = await start(fleet, nursery)
     spec = harness.spec(members=3, accelerators=8, idempotent=False)
     record = await one.scheduler.submit(spec, key=None)
-    await harness.until_state(one.scheduler, record.job, [model.JobState.FAILED])
+    ended = await harness.until_state(one.scheduler, record.job, [model.JobState.FAILED])
+    assert ended.attempt <= health.MAX_START_FAILURES
     log = await fleet.log()
     assert harness.events(log, "release") == []
-    assert len(harness.events(log, "stop")) == 2
+    assert len(harness.events(log, "stop")) == 2 * ended.attempt
 
 
 async def test_members_wait_while_a_worker_is_silent_and_go_on_after(
