--- a/src/bronzequay/sched/terms.py
+++ b/src/bronzequay/sched/terms.py
@@ -238,7 +238,12 @@
             withhold=withhold,
             payload=payload,
         )
-        return watch.Watch(shell=shell, nursery=nursery, is_current=is_current)
+        return watch.Watch(
+            shell=shell,
+            nursery=nursery,
+            is_current=is_current,
+            declared=lambda job: term.state.jobs[job].spec,
+        )
 
     return build
 
--- a/src/bronzequay/sched/watch.py
+++ b/src/bronzequay/sched/watch.py
@@ -30,6 +30,7 @@
     :param shell: the term's tools
     :param nursery: the term's nursery
     :param is_current: whether the records name an attempt as placed
+    :param declared: the specification of a job that the records name
     """
 
     def __init__(
@@ -38,10 +39,13 @@
         shell: gangs.Shell,
         nursery: trio.Nursery,
         is_current: Callable[[ids.JobId, int], bool],
+        declared: Callable[[ids.JobId], model.JobSpec],
     ) -> None:
         self._shell = shell
         self._nursery = nursery
         self._is_current = is_current
+        self._declared = declared
+        self._usage: dict[ids.WorkerId, tuple[model.TaskUsage, ...]] = {}
         self._attempts: dict[ids.JobId, attempts.Attempt] = {}
         self._suspects: set[ids.WorkerId] = set()
         self._probed: set[ids.WorkerId] = set()
@@ -82,6 +86,7 @@
         :return: tasks that are to be renewed no longer
         """
         self._note(worker, listing)
+        self._report_usage(worker, listing)
         listed = {status.task for status in listing}
         for gang in list(self._attempts.values()):
             if gang.phase is not attempts.Phase.RUNNING or worker not in gang.by_worker:
@@ -96,6 +101,26 @@
             for task in gang.by_worker.get(worker, ())
         )
 
+    def _report_usage(self, worker: ids.WorkerId, listing: tuple[client.Status, ...]) -> None:
+        """Tell the core of tasks that use more than declared, each change once."""
+        found = tuple(usage for status in listing if (usage := self._excess(status)) is not None)
+        if found != self._usage.get(worker, ()):
+            self._usage[worker] = found
+            self._shell.emit(model.UsageReported(worker, found))
+
+    def _excess(self, status: client.Status) -> model.TaskUsage | None:
+        key = tasks.parse(status.task)
+        if key is None or status.state not in client.LIVE_STATES:
+            return None
+        gang = self._attempts.get(key.job)
+        if gang is None or gang.number != key.attempt:
+            return None
+        spec = self._declared(key.job)
+        if status.cpu_used <= spec.cpu and status.mem_gb_used <= spec.mem_gb:
+            return None
+        cpu, mem_gb = math.ceil(status.cpu_used), math.ceil(status.mem_gb_used)
+        return model.TaskUsage(key.job, key.attempt, key.member, cpu, mem_gb)
+
     def _note(self, worker: ids.WorkerId, listing: tuple[client.Status, ...]) -> None:
         for status in listing:
             key = tasks.parse(status.task)
--- /dev/null
+++ b/tests/sched/test_reclaim.py
@@ -0,0 +1,94 @@
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+import trio
+from tests.sched import checks, harness
+
+from bronzequay import ids
+from bronzequay.policy import model
+
+if TYPE_CHECKING:
+    from trio import testing
+
+OTHER = ids.OrgId("org-b")
+RULES = model.Rules(
+    version=ids.BundleVersion(1),
+    orgs={
+        harness.ORG: model.OrgRules(guarantee=(model.Shape(8, 2),)),
+        OTHER: model.OrgRules(guarantee=()),
+    },
+)
+
+
+@dataclasses.dataclass
+class Reclaim:
+    """A borrower that holds the whole fleet, and the owner of a guarantee who comes."""
+
+    fleet: harness.Fleet
+    one: harness.Instance
+    borrower: model.JobRecord
+    owner: model.JobRecord
+
+
+async def begin(nursery: trio.Nursery, monkeypatch: pytest.MonkeyPatch) -> Reclaim:
+    monkeypatch.setattr(harness, "RULES", RULES)
+    fleet = harness.Fleet(workers=2)
+    one = harness.Instance(fleet, "i1")
+    nursery.start_soon(one.run)
+    await harness.until(lambda: one.scheduler.is_active)
+    spec = harness.spec(org=OTHER, members=2, accelerators=8, declared_s=60.0, idempotent=False)
+    borrower = await one.scheduler.submit(spec, key="borrower")
+    await harness.until_state(one.scheduler, borrower.job, [model.JobState.RUNNING])
+    await trio.sleep(20.0)
+    urgent = harness.spec(members=2, accelerators=8, declared_s=10.0, urgency=model.Urgency.URGENT)
+    owner = await one.scheduler.submit(urgent, key="owner")
+    return Reclaim(fleet, one, borrower, owner)
+
+
+async def test_a_borrower_is_checkpointed_and_goes_on_where_it_was(
+    autojump_clock: testing.MockClock, nursery: trio.Nursery, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    run = await begin(nursery, monkeypatch)
+    states = [model.JobState.RUNNING]
+    started = await harness.until_state(run.one.scheduler, run.owner.job, states)
+    assert started.started_s is not None
+    assert started.started_s - started.accepted_s < 8.3
+    states = [model.JobState.FINISHED]
+    ended = await harness.until_state(run.one.scheduler, run.borrower.job, states)
+    assert ended.attempt == 2
+    assert ended.attained_s == pytest.approx(20.0, abs=0.5)
+    assert ended.ended_s is not None
+    assert ended.ended_s - ended.accepted_s == pytest.approx(70.0, abs=2.0)
+    checks.check_spans(await run.fleet.log(), {ended.job: ended})
+
+
+async def test_a_takeover_in_the_middle_of_a_reclaim_keeps_the_progress(
+    autojump_clock: testing.MockClock, nursery: trio.Nursery, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    run = await begin(nursery, monkeypatch)
+    run.one.kill()
+    two = harness.Instance(run.fleet, "i2")
+    nursery.start_soon(two.run)
+    states = [model.JobState.FINISHED]
+    owner = await harness.until_state(two.scheduler, run.owner.job, states)
+    ended = await harness.until_state(two.scheduler, run.borrower.job, states)
+    assert ended.attained_s > 19.0
+    log = await run.fleet.log()
+    checks.check_spans(log, {ended.job: ended, owner.job: owner})
+
+
+async def test_usage_beyond_the_declaration_reaches_the_core(
+    autojump_clock: testing.MockClock, nursery: trio.Nursery
+) -> None:
+    fleet = harness.Fleet(workers=1)
+    payload = {"actual_s": 60.0, "cpu_used": 9.5, "mem_gb_used": 1.0}
+    one = harness.Instance(fleet, "i1", payload=lambda _spec: msgspec.json.encode(payload))
+    nursery.start_soon(one.run)
+    await harness.until(lambda: one.scheduler.is_active)
+    record = await one.scheduler.submit(harness.spec(cpu=4), key=None)
+    await trio.sleep(15.0)
+    assert (await one.scheduler.get(record.job)).seen_cpu == 10
