--- a/src/bronzequay/sched/scheduler.py
+++ b/src/bronzequay/sched/scheduler.py
@@ -345,7 +345,9 @@
 
 def _tell(term: terms.Term, member: fleets.Member) -> None:
     worker = member.spec.worker
-    if not member.is_leaving:
+    if member.is_gone:
+        term.emit(model.WorkerGone(worker))
+    elif not member.is_leaving:
         term.emit(model.WorkerJoined(member.spec))
     else:
         term.emit(model.WorkerLeaving(worker))
--- a/src/bronzequay/sched/watch.py
+++ b/src/bronzequay/sched/watch.py
@@ -264,6 +264,8 @@
             if silent_s >= GONE_S and not is_gone:
                 is_gone = True
                 self._shell.emit(model.WorkerGone(worker))
+            if is_gone and self._shell.fleet.address(worker) is None:
+                break
             await trio.sleep(PROBE_S)
         self._suspects.discard(worker)
         self._probed.discard(worker)
--- a/src/bronzequay/work/fleet.py
+++ b/src/bronzequay/work/fleet.py
@@ -16,6 +16,7 @@
     from bronzequay.work import client
 
 POLL_S = 2.0
+GONE_S = 120.0
 DESCRIBES_IN_PROGRESS = 64
 WORKER_KIND = "worker"
 LEAVING = "leaving"
@@ -25,13 +26,15 @@
     """A worker that has described itself.
 
     :param address: base URL of the worker
-    :param is_listed: whether the last list still named it
+    :param is_gone: whether neither the list nor the worker itself has shown it for long
+    :param unseen_since_s: runtime clock since when both have been missing, None while seen
     """
 
     spec: model.WorkerSpec
     address: str
     is_leaving: bool = False
-    is_listed: bool = True
+    is_gone: bool = False
+    unseen_since_s: float | None = None
 
 
 class Fleet:
@@ -80,10 +83,11 @@
         except errors.BronzequayError:
             return
         names = {entry.id for entry in listed}
-        for worker, member in self.members.items():
-            member.is_listed = worker in names
         limit = trio.CapacityLimiter(DESCRIBES_IN_PROGRESS)
         async with trio.open_nursery() as nursery:
+            for worker, member in list(self.members.items()):
+                if worker not in names:
+                    nursery.start_soon(self._look_for, member, limit)
             for entry in listed:
                 if not self._update(entry):
                     nursery.start_soon(self._describe, entry.address, limit)
@@ -104,23 +108,38 @@
         member = self.members.get(ids.WorkerId(entry.id))
         if member is None or member.address != entry.address:
             return False
+        member.unseen_since_s = None
         if entry.state == LEAVING:
             self.mark_leaving(member.spec.worker)
-        return True
+        return not member.is_leaving or entry.state == LEAVING
+
+    async def _look_for(self, member: Member, limit: trio.CapacityLimiter) -> None:
+        """Ask a worker that the list no longer names; drop it once it is silent for long."""
+        if await self._describe(member.address, limit):
+            return
+        now_s = trio.current_time()
+        if member.unseen_since_s is None:
+            member.unseen_since_s = now_s
+        if now_s - member.unseen_since_s >= GONE_S:
+            member.is_gone = True
+            self.members.pop(member.spec.worker, None)
+            self._tell(member)
 
-    async def _describe(self, address: str, limit: trio.CapacityLimiter) -> None:
+    async def _describe(self, address: str, limit: trio.CapacityLimiter) -> bool:
         async with limit:
             try:
                 found = await self._workers.describe(address)
             except errors.BronzequayError:
-                return
+                return False
         member = Member(found.spec(), address, is_leaving=found.is_leaving)
-        self.members[found.worker] = member
-        self._tell(member)
+        if self.members.get(found.worker) != member:
+            self.members[found.worker] = member
+            self._tell(member)
+        return True
 
     def _tell(self, member: Member) -> None:
         for listener in list(self._listeners):
             listener(member)
 
 
-__all__ = ["POLL_S", "Fleet", "Member"]
+__all__ = ["GONE_S", "POLL_S", "Fleet", "Member"]
--- a/src/bronzequay/work/keeper.py
+++ b/src/bronzequay/work/keeper.py
@@ -86,7 +86,7 @@
             del self._withheld[next(iter(self._withheld))]
 
     async def _keep(self, worker: ids.WorkerId, link: Link) -> None:
-        while self._share(worker):
+        while self._share(worker) and worker in self._fleet.members:
             await self._renew(worker, link)
         del self.links[worker]
 
