--- a/src/bronzequay/work/keeper.py
+++ b/src/bronzequay/work/keeper.py
@@ -18,7 +18,7 @@
 RENEW_WAIT_S = 6.0
 PROBE_S = 1.0
 SHARE_CHECK_S = 1.0
-MIN_INTERVAL_S = 0.05
+MIN_INTERVAL_S = 0.2
 MAX_WITHHELD = 100_000
 
 
@@ -86,7 +86,7 @@
             del self._withheld[next(iter(self._withheld))]
 
     async def _keep(self, worker: ids.WorkerId, link: Link) -> None:
-        while self._share(worker):
+        while self._share(worker) and worker in self._fleet.members:
             await self._renew(worker, link)
         del self.links[worker]
 
