--- a/src/bronzequay/store/client.py
+++ b/src/bronzequay/store/client.py
@@ -162,12 +162,14 @@
         fetch = functools.partial(self._wire.grant, ttl_s)
         return await self._retry(fetch, "lease", Purpose.LEASE)
 
-    async def renew(self, lease: ids.LeaseId) -> None:
+    async def renew(self, lease: ids.LeaseId, *, patience_s: float = 0.0) -> None:
         """Renew a lease.
 
+        :param patience_s: seconds to wait for an answer beyond the usual timeout
         :raises BronzequayError: LEASE_LOST when it has run out
         """
-        await self._retry(functools.partial(self._wire.renew, lease), lease, Purpose.LEASE)
+        fetch = functools.partial(self._wire.renew, lease, patience_s=patience_s)
+        await self._retry(fetch, lease, Purpose.LEASE)
 
     async def revoke(self, lease: ids.LeaseId) -> None:
         """End a lease; its keys go at once."""
--- a/src/bronzequay/store/wire.py
+++ b/src/bronzequay/store/wire.py
@@ -173,9 +173,9 @@
         resp = await self._attempt("POST", "/v1/lease", call, params={"ttl_s": ttl_s})
         return ids.LeaseId(_decode(resp, _Granted).lease)
 
-    async def renew(self, lease: ids.LeaseId, call: Call) -> None:
+    async def renew(self, lease: ids.LeaseId, call: Call, *, patience_s: float = 0.0) -> None:
         """Renew a lease."""
-        await self._attempt("POST", f"/v1/lease/{lease}/renew", call)
+        await self._attempt("POST", f"/v1/lease/{lease}/renew", call, extra_s=patience_s)
 
     async def revoke(self, lease: ids.LeaseId, call: Call) -> None:
         """End a lease."""
