Mesh: silent connections replaced, idle ones closed, calls told whether they were sent

Cause: a connection gone silent was pinged for ever when idle and its calls waited out their own timeouts. Now a connection that owes an answer is pinged after 1 s of silence and replaced after 3 s, with its calls ended; one without calls for 15 s is closed, so that none goes silent unseen and no ping is sent on idle ones. A freeze of this process is not taken for the peer's silence. Ruled out: pings on every open connection, whose bytes grow with the square of the instances; the socket library's own heartbeat, which does not tell a dead event loop.

--- a/src/bronzequay/peer/envelope.py
+++ b/src/bronzequay/peer/envelope.py
@@ -26,14 +26,12 @@
     """One message.
 
     :param call: number of the call at its caller, 0 when no answer is expected
-    :param sender: address at which the sender receives
     :param kind: names the handler of a call or one-way message
     """
 
     version: int
     form: Form
     call: int
-    sender: str
     kind: str
     body: bytes
 
--- a/src/bronzequay/peer/mesh.py
+++ b/src/bronzequay/peer/mesh.py
@@ -3,17 +3,14 @@
 from __future__ import annotations
 
 import collections
-import itertools
-import random
 from typing import TYPE_CHECKING
 
-import outcome
 import structlog
 import trio
 import zmq
 
 from bronzequay import codes, errors
-from bronzequay.peer import envelope, sockets
+from bronzequay.peer import connection, envelope, sockets
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -24,40 +21,49 @@
 
 HEARTBEAT_S = 1.0
 SILENCE_S = 3.0
+IDLE_S = 15.0
+TICK_SHARE = 0.25
 MAX_CALLS_IN_PROGRESS = 2_000
-CALL_NUMBER_BITS = 48
 
 _log = structlog.get_logger()
 
 
-class _Connection:
-    """Calls to one peer, over one socket at a time."""
-
-    def __init__(self, address: str) -> None:
-        self.address = address
-        self.channel: sockets.Channel | None = None
-        self.heard_s = trio.current_time()
-        self.pending: dict[int, trio.MemorySendChannel[outcome.Outcome[bytes]]] = {}
-
-
 class Mesh:
     """Receives calls from peers and makes calls to them.
 
+    A connection on which a call waits and nothing arrives for ``silence_s`` is replaced;
+    its calls end in PEER_TIMEOUT. One without calls for ``idle_s`` is closed, so that
+    none can go silent unseen.
+
     :param instance: this instance
     :param address: ``tcp://IP:PORT`` to receive at; with port 0, ``address`` tells the
         port bound
+    :param heartbeat_s: seconds of silence after which a peer that owes an answer is pinged
+    :param silence_s: seconds of silence after which its connection is replaced
+    :param idle_s: seconds without a call after which a connection is closed
     """
 
-    def __init__(self, *, instance: ids.InstanceId, address: str) -> None:
+    def __init__(
+        self,
+        *,
+        instance: ids.InstanceId,
+        address: str,
+        heartbeat_s: float = HEARTBEAT_S,
+        silence_s: float = SILENCE_S,
+        idle_s: float = IDLE_S,
+    ) -> None:
         self.instance = instance
         self.counts: collections.Counter[str] = collections.Counter()
+        self._limits = connection.Limits(
+            heartbeat_s=heartbeat_s, silence_s=silence_s, idle_s=idle_s
+        )
         self._ctx = zmq.Context()
         router = sockets.open_router(self._ctx, address)
         self.address = router.getsockopt_string(zmq.LAST_ENDPOINT)
         self._router = sockets.Channel(router, self._on_request)
         self._handlers: dict[str, Handler] = {}
-        self._connections: dict[str, _Connection] = {}
-        self._numbers = itertools.count(random.SystemRandom().getrandbits(CALL_NUMBER_BITS))
+        self._connections: dict[str, connection.Connection] = {}
+        self._listeners: list[Callable[[str], None]] = []
         self._nursery: trio.Nursery | None = None
         self._started = trio.Event()
         self._in_progress = 0
@@ -66,107 +72,89 @@
         """Answer calls of a kind with a handler's result."""
         self._handlers[kind] = handler
 
+    def on_silence(self, listener: Callable[[str], None]) -> None:
+        """Call a listener with the address of each peer whose connection went silent."""
+        self._listeners.append(listener)
+
     async def call(self, address: str, kind: str, body: bytes, *, timeout_s: float) -> bytes:
         """Call a peer.
 
         :param address: the peer's address
         :return: the answer's body
-        :raises BronzequayError: PEER_TIMEOUT, or the error that the handler raised
+        :raises BronzequayError: PEER_TIMEOUT, whose message tells whether the call was sent,
+            or the error that the handler raised
         """
         await self._started.wait()
         conn = self._connect(address)
-        number = next(self._numbers)
-        send, receive = trio.open_memory_channel[outcome.Outcome[bytes]](1)
-        conn.pending[number] = send
+        pending = connection.Pending()
+        conn.pending[pending.number] = pending
         try:
             with trio.fail_after(timeout_s):
-                await self._send(conn, envelope.Form.CALL, number, kind, body)
-                answer = await receive.receive()
+                return await self._exchange(conn, pending, kind, body)
         except trio.TooSlowError:
-            raise errors.BronzequayError(
-                codes.ResultCode.PEER_TIMEOUT, f"no answer to {kind} from {address}"
-            ) from None
+            raise connection.no_answer(address, is_sent=pending.is_sent) from None
         finally:
-            conn.pending.pop(number, None)
-        return answer.unwrap()
+            conn.pending.pop(pending.number, None)
+            conn.used_s = trio.current_time()
 
     async def send(self, address: str, kind: str, body: bytes) -> None:
         """Send a message one way; it is dropped when the peer cannot be reached."""
         await self._started.wait()
         conn = self._connect(address)
-        with trio.move_on_after(SILENCE_S):
-            await self._send(conn, envelope.Form.SEND, 0, kind, body)
+        with trio.move_on_after(self._limits.silence_s):
+            await conn.channel.send([self._message(envelope.Form.SEND, 0, kind, body)])
 
     async def run(self) -> None:
-        """Receive and keep connections alive until cancelled."""
+        """Receive and supervise the connections until cancelled."""
         async with trio.open_nursery() as self._nursery:
             self._nursery.start_soon(self._router.run)
-            self._nursery.start_soon(self._beat)
+            self._nursery.start_soon(self._supervise)
             self._started.set()
 
     def close(self) -> None:
         """Close all sockets at once."""
         for conn in self._connections.values():
-            if conn.channel is not None:
-                conn.channel.close()
+            conn.close()
+        self._connections.clear()
         self._router.close()
         self._ctx.term()
 
+    async def _exchange(
+        self, conn: connection.Connection, pending: connection.Pending, kind: str, body: bytes
+    ) -> bytes:
+        message = self._message(envelope.Form.CALL, pending.number, kind, body)
+        await conn.channel.send([message])
+        pending.is_sent = True
+        return await pending.wait()
+
     def _message(self, form: envelope.Form, number: int, kind: str, body: bytes) -> bytes:
-        return envelope.encode(
-            envelope.Message(
-                version=envelope.PROTOCOL_VERSION,
-                form=form,
-                call=number,
-                sender=self.address,
-                kind=kind,
-                body=body,
-            )
+        message = envelope.Message(
+            version=envelope.PROTOCOL_VERSION, form=form, call=number, kind=kind, body=body
         )
+        return envelope.encode(message)
 
-    async def _send(
-        self, conn: _Connection, form: envelope.Form, number: int, kind: str, body: bytes
-    ) -> None:
-        channel = conn.channel
-        if channel is not None:
-            await channel.send([self._message(form, number, kind, body)])
-
-    def _connect(self, address: str) -> _Connection:
+    def _connect(self, address: str) -> connection.Connection:
         conn = self._connections.get(address)
         if conn is None:
-            conn = self._connections[address] = _Connection(address)
-            self._open(conn)
+            conn = connection.Connection(
+                address,
+                lambda on_frames: self._open_channel(address, on_frames),
+                on_stray=self._count,
+            )
+            self._connections[address] = conn
+        conn.used_s = trio.current_time()
         return conn
 
-    def _open(self, conn: _Connection) -> None:
-        assert self._nursery is not None  # noqa: S101  # callers wait for run()
-        dealer = sockets.open_dealer(self._ctx, conn.address)
-        conn.channel = sockets.Channel(dealer, lambda frames: self._on_answer(conn, frames))
-        conn.heard_s = trio.current_time()
-        self._nursery.start_soon(self._run_channel, conn.channel)
-
-    async def _run_channel(self, channel: sockets.Channel) -> None:
-        try:
-            await channel.run()
-        except zmq.ZMQError:
-            self.counts["closed"] += 1
+    def _count(self, event: str) -> None:
+        self.counts[event] += 1
 
-    def _on_answer(self, conn: _Connection, frames: list[bytes]) -> None:
-        message = envelope.decode(frames[-1])
-        if message is None:
-            self.counts["malformed"] += 1
-            return
-        conn.heard_s = trio.current_time()
-        waiter = conn.pending.pop(message.call, None)
-        if message.form is envelope.Form.PONG:
-            return
-        if waiter is None:
-            self.counts["late"] += 1
-            return
-        if message.form is envelope.Form.ERROR:
-            waiter.send_nowait(outcome.Error(envelope.decode_error(message.body)))
-        else:
-            waiter.send_nowait(outcome.Value(message.body))
+    def _open_channel(
+        self, address: str, on_frames: Callable[[list[bytes]], None]
+    ) -> sockets.Channel:
+        assert self._nursery is not None  # noqa: S101  # callers wait for run()
+        channel = sockets.Channel(sockets.open_dealer(self._ctx, address), on_frames)
+        self._nursery.start_soon(channel.run)
+        return channel
 
     def _on_request(self, frames: list[bytes]) -> None:
         message = envelope.decode(frames[-1])
@@ -197,6 +185,7 @@
 
     async def _run_handler(self, message: envelope.Message) -> bytes:
         if self._in_progress > MAX_CALLS_IN_PROGRESS:
+            self.counts["refused"] += 1
             raise errors.BronzequayError(codes.ResultCode.QUEUE_FULL, "too many calls in progress")
         handler = self._handlers.get(message.kind)
         if handler is None:
@@ -213,20 +202,28 @@
                 codes.ResultCode.INTERNAL, f"the handler of {message.kind} failed"
             ) from exc
 
-    async def _beat(self) -> None:
+    async def _supervise(self) -> None:
+        tick_s = TICK_SHARE * self._limits.heartbeat_s
         while True:
-            await trio.sleep(HEARTBEAT_S)
+            due_s = trio.current_time() + tick_s
+            await trio.sleep_until(due_s)
+            was_frozen = trio.current_time() - due_s > self._limits.heartbeat_s
             for conn in list(self._connections.values()):
-                if trio.current_time() - conn.heard_s > SILENCE_S:
-                    self._replace(conn)
-                assert conn.channel is not None  # noqa: S101  # set by _open
-                conn.channel.try_send([self._message(envelope.Form.PING, 0, "", b"")])
-
-    def _replace(self, conn: _Connection) -> None:
-        self.counts["replaced"] += 1
-        assert conn.channel is not None  # noqa: S101  # set by _open
-        conn.channel.close()
-        self._open(conn)
-
-
-__all__ = ["Mesh"]
+                if was_frozen:
+                    conn.forgive()
+                self._act(conn)
+
+    def _act(self, conn: connection.Connection) -> None:
+        action = conn.judge(self._limits)
+        if action is connection.Action.PING:
+            conn.channel.try_send([self._message(envelope.Form.PING, 0, "", b"")])
+        elif action is not connection.Action.NONE:
+            del self._connections[conn.address]
+            conn.close()
+            self.counts[action.name.lower()] += 1
+        if action is connection.Action.REPLACE:
+            for listener in self._listeners:
+                listener(conn.address)
+
+
+__all__ = ["HEARTBEAT_S", "IDLE_S", "SILENCE_S", "Mesh"]
--- a/src/bronzequay/peer/sockets.py
+++ b/src/bronzequay/peer/sockets.py
@@ -17,6 +17,7 @@
 KEEP_ALIVE_IDLE_S = 30
 KEEP_ALIVE_GAP_S = 10
 KEEP_ALIVE_PROBES = 3
+MAX_MESSAGE_BYTES = 16_000_000
 
 
 class Channel:
@@ -37,7 +38,7 @@
 
     async def run(self) -> None:
         """Receive, and send what waited for a connection, until cancelled."""
-        while True:
+        while not self._sock.closed:
             self._receive_all()
             self._send_waiting()
             if self._is_ready():
@@ -115,6 +116,7 @@
     sock = ctx.socket(zmq.ROUTER)
     sock.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
     sock.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
+    sock.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
     sock.setsockopt(zmq.TCP_KEEPALIVE, 1)
     sock.setsockopt(zmq.TCP_KEEPALIVE_IDLE, KEEP_ALIVE_IDLE_S)
     sock.setsockopt(zmq.TCP_KEEPALIVE_INTVL, KEEP_ALIVE_GAP_S)
