Mesh: the end of a peer's connection ends its calls at once

The end of an established connection now drops the socket, ends its calls and tells the listeners; the next call opens another. Whether a call was sent is read only when its caller resumes, so that none is told as not sent that was.

--- a/src/bronzequay/peer/connection.py
+++ b/src/bronzequay/peer/connection.py
@@ -52,8 +52,10 @@
     :param is_sent: whether the call left this process, so that it may have been handled
     """
 
-    def __init__(self) -> None:
+    def __init__(self, address: str) -> None:
         self.number = next(_numbers)
+        self._address = address
+        self._is_lost = False
         self.began_s = trio.current_time()
         self.is_sent = False
         self._done = trio.Event()
@@ -63,6 +65,8 @@
     async def wait(self) -> bytes:
         """Wait for the answer's body, or raise the error."""
         await self._done.wait()
+        if self._is_lost:
+            raise no_answer(self._address, is_sent=self.is_sent)
         if self._error is not None:
             raise self._error
         return self._body or b""
@@ -72,6 +76,11 @@
         self._body = body
         self._done.set()
 
+    def lose(self) -> None:
+        """Tell the caller that no answer will come."""
+        self._is_lost = True
+        self._done.set()
+
     def fail(self, error: errors.BronzequayError) -> None:
         """Tell the caller an error."""
         self._error = error
@@ -82,13 +91,14 @@
     """Calls to one peer over one socket.
 
     :param address: the peer's address
-    :param open_channel: opens the socket; called with what takes the frames received
+    :param open_link: opens the socket; called with what takes the frames received
+    :param on_stray: called with ``late`` or ``malformed`` for a message that is dropped
     """
 
     def __init__(
         self,
         address: str,
-        open_channel: Callable[[Callable[[list[bytes]], None]], sockets.Channel],
+        open_link: Callable[[Callable[[list[bytes]], None]], sockets.Link],
         *,
         on_stray: Callable[[str], None],
     ) -> None:
@@ -97,7 +107,7 @@
         self.used_s = trio.current_time()
         self.heard_s = trio.current_time()
         self._on_stray = on_stray
-        self.channel = open_channel(self._on_frames)
+        self.link = open_link(self._on_frames)
 
     def judge(self, limits: Limits) -> Action:
         """Tell what the connection needs, from its silence."""
@@ -116,9 +126,9 @@
 
     def close(self) -> None:
         """Close the socket and fail its calls."""
-        self.channel.close()
+        self.link.close()
         for pending in self.pending.values():
-            pending.fail(no_answer(self.address, is_sent=pending.is_sent))
+            pending.lose()
         self.pending.clear()
 
     def _on_frames(self, frames: list[bytes]) -> None:
--- a/src/bronzequay/peer/mesh.py
+++ b/src/bronzequay/peer/mesh.py
@@ -73,7 +73,7 @@
         self._handlers[kind] = handler
 
     def on_silence(self, listener: Callable[[str], None]) -> None:
-        """Call a listener with the address of each peer whose connection went silent."""
+        """Call a listener with the address of each peer whose connection broke or went silent."""
         self._listeners.append(listener)
 
     async def call(self, address: str, kind: str, body: bytes, *, timeout_s: float) -> bytes:
@@ -86,7 +86,7 @@
         """
         await self._started.wait()
         conn = self._connect(address)
-        pending = connection.Pending()
+        pending = connection.Pending(address)
         conn.pending[pending.number] = pending
         try:
             with trio.fail_after(timeout_s):
@@ -102,7 +102,7 @@
         await self._started.wait()
         conn = self._connect(address)
         with trio.move_on_after(self._limits.silence_s):
-            await conn.channel.send([self._message(envelope.Form.SEND, 0, kind, body)])
+            await conn.link.send([self._message(envelope.Form.SEND, 0, kind, body)])
 
     async def run(self) -> None:
         """Receive and supervise the connections until cancelled."""
@@ -123,8 +123,7 @@
         self, conn: connection.Connection, pending: connection.Pending, kind: str, body: bytes
     ) -> bytes:
         message = self._message(envelope.Form.CALL, pending.number, kind, body)
-        await conn.channel.send([message])
-        pending.is_sent = True
+        pending.is_sent = await conn.link.send([message])
         return await pending.wait()
 
     def _message(self, form: envelope.Form, number: int, kind: str, body: bytes) -> bytes:
@@ -138,7 +137,7 @@
         if conn is None:
             conn = connection.Connection(
                 address,
-                lambda on_frames: self._open_channel(address, on_frames),
+                lambda on_frames: self._open_link(address, on_frames),
                 on_stray=self._count,
             )
             self._connections[address] = conn
@@ -148,13 +147,29 @@
     def _count(self, event: str) -> None:
         self.counts[event] += 1
 
-    def _open_channel(
-        self, address: str, on_frames: Callable[[list[bytes]], None]
-    ) -> sockets.Channel:
+    def _open_link(self, address: str, on_frames: Callable[[list[bytes]], None]) -> sockets.Link:
         assert self._nursery is not None  # noqa: S101  # callers wait for run()
-        channel = sockets.Channel(sockets.open_dealer(self._ctx, address), on_frames)
-        self._nursery.start_soon(channel.run)
-        return channel
+        link = sockets.Link(
+            self._ctx,
+            address,
+            on_frames=on_frames,
+            on_disconnect=lambda: self._on_disconnect(address),
+        )
+        self._nursery.start_soon(link.run)
+        return link
+
+    def _on_disconnect(self, address: str) -> None:
+        """End the calls of a connection that ended; the next call opens another."""
+        self._drop(address, "disconnected")
+        self._tell_silence(address)
+
+    def _drop(self, address: str, reason: str) -> None:
+        self._connections.pop(address).close()
+        self.counts[reason] += 1
+
+    def _tell_silence(self, address: str) -> None:
+        for listener in self._listeners:
+            listener(address)
 
     def _on_request(self, frames: list[bytes]) -> None:
         message = envelope.decode(frames[-1])
@@ -216,14 +231,11 @@
     def _act(self, conn: connection.Connection) -> None:
         action = conn.judge(self._limits)
         if action is connection.Action.PING:
-            conn.channel.try_send([self._message(envelope.Form.PING, 0, "", b"")])
+            conn.link.try_send([self._message(envelope.Form.PING, 0, "", b"")])
         elif action is not connection.Action.NONE:
-            del self._connections[conn.address]
-            conn.close()
-            self.counts[action.name.lower()] += 1
+            self._drop(conn.address, action.name.lower())
         if action is connection.Action.REPLACE:
-            for listener in self._listeners:
-                listener(conn.address)
+            self._tell_silence(conn.address)
 
 
 __all__ = ["HEARTBEAT_S", "IDLE_S", "SILENCE_S", "Mesh"]
--- a/src/bronzequay/peer/sockets.py
+++ b/src/bronzequay/peer/sockets.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import collections
+import itertools
 from typing import TYPE_CHECKING
 
 import trio
 import zmq
+import zmq.utils.monitor
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,6 +22,18 @@
 MAX_MESSAGE_BYTES = 16_000_000
 
 
+_monitor_numbers = itertools.count()
+
+
+class _Unsent:
+    """A message that waits for a connection."""
+
+    def __init__(self, frames: Frames) -> None:
+        self.frames = frames
+        self.done = trio.Event()
+        self.is_sent = False
+
+
 class Channel:
     """A socket with one task that receives; sending never waits.
 
@@ -33,7 +47,7 @@
     def __init__(self, sock: zmq.SyncSocket, on_frames: Callable[[Frames], None]) -> None:
         self._sock = sock
         self._on_frames = on_frames
-        self._waiting: collections.deque[tuple[Frames, trio.Event]] = collections.deque()
+        self._waiting: collections.deque[_Unsent] = collections.deque()
         self._scope: trio.CancelScope | None = None
 
     async def run(self) -> None:
@@ -41,6 +55,8 @@
         while not self._sock.closed:
             self._receive_all()
             self._send_waiting()
+            if self._sock.closed:
+                return
             if self._is_ready():
                 await trio.lowlevel.checkpoint()
                 continue
@@ -60,25 +76,37 @@
             self._kick()
         return True
 
-    async def send(self, frames: Frames) -> None:
-        """Send one message, waiting for a connection; cancelled, it is not sent."""
+    async def send(self, frames: Frames) -> bool:
+        """Send one message, waiting for a connection; cancelled, it is not sent.
+
+        :return: False when the channel is closed before the message is sent
+        """
         if not self._waiting and self.try_send(frames):
-            return
-        item = (frames, trio.Event())
+            return True
+        if self._sock.closed:
+            return False
+        item = _Unsent(frames)
         self._waiting.append(item)
         self._kick()
         try:
-            await item[1].wait()
-        except trio.Cancelled:
-            if not item[1].is_set():
+            await item.done.wait()
+        finally:
+            if item in self._waiting:
                 self._waiting.remove(item)
-            raise
+        return item.is_sent
 
     def close(self) -> None:
         """Close the socket at once."""
         if self._scope is not None:
             self._scope.cancel()
-        self._sock.close(linger=0)
+        if not self._sock.closed:
+            self._sock.close(linger=0)
+        while self._waiting:
+            self._waiting.popleft().done.set()
+
+    def receive_now(self) -> None:
+        """Take in what has arrived already."""
+        self._receive_all()
 
     def _option(self, option: int) -> int:
         return int(self._sock.getsockopt(option))
@@ -89,11 +117,11 @@
 
     def _kick(self) -> None:
         """Wake the receiving task if a send has taken the descriptor's signal."""
-        if self._scope is not None and self._is_ready():
+        if self._scope is not None and not self._sock.closed and self._is_ready():
             self._scope.cancel()
 
     def _receive_all(self) -> None:
-        while True:
+        while not self._sock.closed:
             try:
                 frames = self._sock.recv_multipart(zmq.NOBLOCK)
             except zmq.Again:
@@ -101,14 +129,15 @@
             self._on_frames(frames)
 
     def _send_waiting(self) -> None:
-        while self._waiting:
-            frames, sent = self._waiting[0]
+        while self._waiting and not self._sock.closed:
+            item = self._waiting[0]
             try:
-                self._sock.send_multipart(frames, zmq.NOBLOCK)
+                self._sock.send_multipart(item.frames, zmq.NOBLOCK)
             except zmq.Again:
                 return
             self._waiting.popleft()
-            sent.set()
+            item.is_sent = True
+            item.done.set()
 
 
 def open_router(ctx: zmq.SyncContext, address: str) -> zmq.SyncSocket:
@@ -135,4 +164,54 @@
     return sock
 
 
-__all__ = ["Channel", "open_dealer", "open_router"]
+class Link:
+    """A socket to one peer, and the watch on its connection.
+
+    :param on_frames: called with each message received
+    :param on_disconnect: called when a connection that stood has ended
+    """
+
+    def __init__(
+        self,
+        ctx: zmq.SyncContext,
+        address: str,
+        *,
+        on_frames: Callable[[Frames], None],
+        on_disconnect: Callable[[], None],
+    ) -> None:
+        self._sock = open_dealer(ctx, address)
+        self._on_disconnect = on_disconnect
+        self._channel = Channel(self._sock, on_frames)
+        place = f"inproc://monitor-{next(_monitor_numbers)}"
+        monitor = self._sock.get_monitor_socket(zmq.EVENT_DISCONNECTED, place)
+        self._monitor = Channel(monitor, self._on_event)
+
+    async def run(self) -> None:
+        """Receive until cancelled or closed."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._channel.run)
+            nursery.start_soon(self._monitor.run)
+
+    async def send(self, frames: Frames) -> bool:
+        """Send one message, waiting for a connection; False when the link is closed first."""
+        return await self._channel.send(frames)
+
+    def try_send(self, frames: Frames) -> bool:
+        """Send one message if a connection can take it now."""
+        return self._channel.try_send(frames)
+
+    def close(self) -> None:
+        """Close at once."""
+        if not self._sock.closed:
+            self._sock.disable_monitor()
+        self._monitor.close()
+        self._channel.close()
+
+    def _on_event(self, frames: Frames) -> None:
+        event = zmq.utils.monitor.parse_monitor_message(frames)
+        if event["event"] == zmq.EVENT_DISCONNECTED:
+            self._channel.receive_now()
+            self._on_disconnect()
+
+
+__all__ = ["Channel", "Link", "open_router"]
--- a/tests/peer/test_connection.py
+++ b/tests/peer/test_connection.py
@@ -15,22 +15,22 @@
 LIMITS = connection.Limits(heartbeat_s=1.0, silence_s=3.0, idle_s=15.0)
 
 
-class StillChannel:
-    """Channel on which nothing happens."""
+class StillLink:
+    """Link on which nothing happens."""
 
     def close(self) -> None:
         """Do nothing."""
 
 
 def make() -> connection.Connection:
-    def open_channel(_on_frames: Callable[[list[bytes]], None]) -> sockets.Channel:
-        return StillChannel()  # type: ignore[return-value]
+    def open_link(_on_frames: Callable[[list[bytes]], None]) -> sockets.Link:
+        return StillLink()  # type: ignore[return-value]
 
-    return connection.Connection("tcp://x", open_channel, on_stray=lambda _event: None)
+    return connection.Connection("tcp://x", open_link, on_stray=lambda _event: None)
 
 
 def add_call(conn: connection.Connection) -> connection.Pending:
-    pending = connection.Pending()
+    pending = connection.Pending("tcp://x")
     conn.pending[pending.number] = pending
     return pending
 
--- a/tests/peer/test_mesh.py
+++ b/tests/peer/test_mesh.py
@@ -14,6 +14,7 @@
     from collections.abc import Awaitable
 
 LONG_S = 60.0
+SLOW = {"heartbeat_s": 100.0, "silence_s": 200.0, "idle_s": 300.0}
 FAST = {"heartbeat_s": 0.1, "silence_s": 0.4, "idle_s": 0.5}
 
 
@@ -211,7 +212,7 @@
 
 
 async def test_peer_that_restarts_at_its_address_is_reached_again() -> None:
-    async with harness.meshes(1, **FAST) as (one,):
+    async with harness.meshes(1) as (one,):
         async with harness.meshes(1) as (two,):
             two.serve("echo", harness.echo)
             address = two.address
@@ -220,11 +221,51 @@
         again.serve("echo", harness.echo)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(again.run)
-            assert await one.call(address, "echo", b"x", timeout_s=LONG_S) == b"x"
+            with trio.fail_after(LONG_S / 2):
+                while await outcome_of(one, address) != b"x":
+                    await trio.sleep(0.01)
             nursery.cancel_scope.cancel()
         again.close()
 
 
+async def outcome_of(one: mesh.Mesh, address: str) -> bytes | None:
+    try:
+        return await one.call(address, "echo", b"x", timeout_s=LONG_S)
+    except errors.BronzequayError:
+        return None
+
+
+async def test_call_ends_at_once_when_its_peer_goes() -> None:
+    held = trio.Event()
+
+    async def hold(_body: bytes) -> bytes:
+        held.set()
+        await trio.sleep_forever()
+        return b""
+
+    async with harness.meshes(1, **SLOW) as (one,), trio.open_nursery() as nursery:
+        async with harness.meshes(1) as (two,):
+            two.serve("hold", hold)
+            call = one.call(two.address, "hold", b"", timeout_s=4 * LONG_S)
+            nursery.start_soon(code_of, call)
+            await held.wait()
+        with trio.fail_after(LONG_S / 2):
+            while nursery.child_tasks:
+                await trio.sleep(0.01)
+        assert one.counts["disconnected"] == 1
+
+
+async def test_call_sent_just_as_its_peer_goes_ends() -> None:
+    async with harness.meshes(1, **SLOW) as (one,):
+        async with harness.meshes(1) as (two,):
+            two.serve("echo", harness.echo)
+            address = two.address
+            await one.call(address, "echo", b"x", timeout_s=LONG_S)
+        with trio.fail_after(LONG_S / 2):
+            code = await code_of(one.call(address, "echo", b"x", timeout_s=0.5))
+    assert code is codes.ResultCode.PEER_TIMEOUT
+
+
 async def test_calls_in_progress_end_when_the_mesh_closes() -> None:
     async def hold(_body: bytes) -> bytes:
         await trio.sleep_forever()
