--- a/src/bronzequay/policy/dispatch.py
+++ b/src/bronzequay/policy/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -34,7 +35,9 @@
 """The same for gangs that have waited too long."""
 AGED_S = 1_800.0
 """Waiting time beyond its rank's delay that makes a job aged, in seconds."""
-WALK_PERIOD_S = 1.0
+MAX_MIGRATIONS = 4
+"""Gangs for which others are being moved at once."""
+WALK_PERIOD_S = 15.0
 """Shortest time between two walks that only time has given a reason for, in seconds."""
 
 
@@ -62,7 +65,8 @@
     has_room = state.fleet.freed != state.seen_freed
     if has_room or (is_tick and now_s - state.walked_s >= WALK_PERIOD_S):
         state.fresh.clear()
-        state.blocked.clear()
+        if has_room:
+            state.blocked.clear()
         commands.extend(_walk_all(state, now_s))
         state.seen_freed = state.fleet.freed
         state.walked_s = now_s
@@ -169,19 +173,22 @@
 def _ways(
     state: states.State, record: model.JobRecord, price: placement.Price
 ) -> Iterator[tuple[model.Share, Callable[[], search.Draft | None]]]:
-    """Yield the ways in which a job may run: inside its guarantee, then beyond it."""
+    """Yield the ways in which a job may run.
+
+    Work that can be reclaimed borrows first, which leaves guarantees to work that cannot.
+    """
+    rules = state.rules.orgs.get(record.spec.org)
+    may_borrow = rules is not None and rules.may_borrow
+    if may_borrow and record.spec.reclaimable:
+        if price is placement.never:
+            yield model.Share.BORROWED, functools.partial(planning.borrowed, state, record)
+        else:
+            yield model.Share.BORROWED, functools.partial(planning.evicting, state, record, price)
     if planning.may_be_guaranteed(state, record):
         plan = functools.partial(planning.guaranteed, state, record, price)
         yield model.Share.GUARANTEED, plan
-    rules = state.rules.orgs.get(record.spec.org)
-    if rules is None or not rules.may_borrow:
-        return
-    if not record.spec.reclaimable:
+    if may_borrow and not record.spec.reclaimable:
         yield model.Share.FIXED, functools.partial(planning.fixed, state, record, price)
-    elif price is placement.never:
-        yield model.Share.BORROWED, functools.partial(planning.borrowed, state, record)
-    else:
-        yield model.Share.BORROWED, functools.partial(planning.evicting, state, record, price)
 
 
 def _enter(
@@ -190,7 +197,9 @@
     if share is model.Share.BORROWED:
         return True
     seats = planning.seats_of(draft)
-    seating = guarantees.Seating(record.job, record.spec.org, share, seats)
+    seating = guarantees.Seating(
+        record.job, record.spec.org, share, seats, not record.spec.reclaimable
+    )
     return guarantees.try_enter(state.book, state.fleet, seating)
 
 
@@ -198,12 +207,14 @@
     """A reason for which a job may have others stopped.
 
     :param bound_s: time that those have to keep their progress
+    :param max_cost: lost work that the start is worth, in accelerator seconds
     """
 
     name: str
     price: placement.Price
     bound_s: float
     is_guarantee: bool = False
+    max_cost: float = math.inf
 
 
 def _by_evicting(
@@ -215,14 +226,33 @@
                 continue
             if not one.evicting_tries:
                 return
+            key = _evicting_key(state, record, share, right)
+            if state.blocked.get(key) == state.fleet.freed:
+                continue
             one.evicting_tries -= 1
             draft = plan()
-            if draft is None or not _enter(state, record, share, draft):
+            is_worth = draft is not None and draft.cost <= right.max_cost
+            if draft is None or not is_worth or not _enter(state, record, share, draft):
+                state.blocked[key] = state.fleet.freed
                 continue
             yield from _claim(state, record, share, draft, right, now_s=one.now_s)
             return
 
 
+def _evicting_key(
+    state: states.State, record: model.JobRecord, share: model.Share, right: Right
+) -> tuple[object, ...]:
+    """Return what decides whether a search for gangs to stop is in vain until room comes free.
+
+    Rights other than a guarantee depend on the time as well; they are asked again every period.
+    """
+    need = placement.need_of(record)
+    if right.is_guarantee:
+        return (right.name, share, need, record.spec.org)
+    period = int(state.now_s / WALK_PERIOD_S)
+    return (right.name, share, need, record.spec.org, record.spec.caller, period)
+
+
 def _rights(state: states.State, record: model.JobRecord, now_s: float) -> Iterator[Right]:
     bound_s = preemption.CHECKPOINT_BOUND_S
     is_urgent = record.spec.urgency is model.Urgency.URGENT
@@ -240,7 +270,10 @@
         yield Right("floor", price, bound_s)
     if is_under:
         yield Right("fair share", preemption.for_due(state, now_s), bound_s)
-    if is_aged(state, record, now_s) and _aged_claims(state) < MAX_AGED_CLAIMS:
+    if _claims_by(state, "migration") < MAX_MIGRATIONS and planning.fits_by_count(state, record):
+        price = preemption.for_migration(state, now_s, record)
+        yield Right("migration", price, bound_s, max_cost=preemption.worth(state, record))
+    if is_aged(state, record, now_s) and _claims_by(state, "aged") < MAX_AGED_CLAIMS:
         yield Right("aged", preemption.for_aged(state, now_s, record), bound_s)
 
 
@@ -249,8 +282,8 @@
     return now_s - state.queues.ranks[record.job] > AGED_S
 
 
-def _aged_claims(state: states.State) -> int:
-    return sum(claim.right == "aged" for claim in state.claims.values())
+def _claims_by(state: states.State, right: str) -> int:
+    return sum(claim.right == right for claim in state.claims.values())
 
 
 def _claim(
