--- a/bench/store.py
+++ b/bench/store.py
@@ -128,16 +128,59 @@
 
 
 async def measure_idle_watch() -> dict[str, Any]:
-    """Measure the calls and wire bytes of an idle watch, through a counting relay."""
-    async with served_store() as (store, stand), trio.open_nursery() as nursery:
-        watched = watch.Watch(store, prefix="w/")
-        nursery.start_soon(watched.run)
-        await trio.sleep(1.0)
-        before = stand.calls.total()
-        await trio.sleep(IDLE_S)
-        calls = stand.calls.total() - before
-        nursery.cancel_scope.cancel()
-    return {"calls_per_s": round(calls / IDLE_S, 3)}
+    """Measure the calls and the bytes over TCP of an idle watch, through a counting relay."""
+    async with served_store() as (_, stand), trio.open_nursery() as nursery:
+        relay = Relay(stand)
+        port = await nursery.start(relay.run)
+        async with connections.open_client() as http:
+            url = f"http://127.0.0.1:{port}"
+            store = client.Store(base_url=url, instance=ids.InstanceId("idle"), http=http)
+            nursery.start_soon(watch.Watch(store, prefix="w/").run)
+            await trio.sleep(1.0)
+            before = stand.calls.total()
+            relay.bytes = 0
+            await trio.sleep(IDLE_S)
+            calls = stand.calls.total() - before
+            nursery.cancel_scope.cancel()
+    return {
+        "calls_per_s": round(calls / IDLE_S, 3),
+        "bytes_per_s": round(relay.bytes / IDLE_S, 1),
+    }
+
+
+class Relay:
+    """Relays TCP connections to the stand-in and counts their bytes, both ways."""
+
+    def __init__(self, stand: platform.Stand) -> None:
+        self._stand = stand
+        self.bytes = 0
+
+    async def run(self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled; reports the port."""
+        async with trio.open_nursery() as nursery:
+
+            async def start(task_status: trio.TaskStatus[int]) -> None:
+                assert self._stand.app is not None
+                await serve.serve(
+                    self._stand.app, host="127.0.0.1", port=0, task_status=task_status
+                )
+
+            target = await nursery.start(start)
+            (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            task_status.started(listener.socket.getsockname()[1])
+
+            async def relay(near: trio.SocketStream) -> None:
+                far = await trio.open_tcp_stream("127.0.0.1", target)
+                async with near, far, trio.open_nursery() as copies:
+                    copies.start_soon(self._copy, near, far)
+                    copies.start_soon(self._copy, far, near)
+
+            nursery.start_soon(trio.serve_listeners, relay, [listener])
+
+    async def _copy(self, source: trio.SocketStream, sink: trio.SocketStream) -> None:
+        async for chunk in source:
+            self.bytes += len(chunk)
+            await sink.send_all(chunk)
 
 
 async def measure_mesh() -> dict[str, float]:
@@ -214,12 +257,12 @@
         await trio.sleep(4.0)
         seen = [len(view.live()) for view in views]
         assert seen == [count] * count, seen
-        for each in counted:
-            each.bytes = 0
+        for counter in counted:
+            counter.bytes = 0
         cpu_s = time.process_time()
         await trio.sleep(IDLE_S)
         cpu_s = time.process_time() - cpu_s
-        total = sum(each.bytes for each in counted)
+        total = sum(counter.bytes for counter in counted)
         nursery.cancel_scope.cancel()
     for each in meshes:
         each.close()
