Claim non-idempotent requests durably, once for every key

A keyed non-idempotent request is claimed in the store before it is sent. A second send on any instance gets the recorded answer, the failure, or an unknown outcome.

--- a/src/bronzequay/instance.py
+++ b/src/bronzequay/instance.py
@@ -53,6 +53,7 @@
         self, *, cfg: entry.EntryCfg, resolved: entry.Origins, wall_clock: Callable[[], float]
     ) -> None:
         self._cfg = cfg
+        self._wall_clock = wall_clock
         self._is_draining = False
         self._stop_serving = trio.Event()
         self._exits = contextlib.AsyncExitStack()
@@ -168,7 +169,12 @@
         added = router.Router(
             service=service,
             client=self._executors,
-            claims=claims.LocalClaims(),
+            claims=claims.Claims(
+                store=self.store,
+                service=service,
+                instance=self._cfg.instance,
+                wall_clock=self._wall_clock,
+            ),
             instances=lambda: max(1, len(self.discovery.entries)),
         )
         self.routers[service] = added
--- a/src/bronzequay/route/attempts.py
+++ b/src/bronzequay/route/attempts.py
@@ -23,11 +23,20 @@
 class Knowledge:
     """What the attempts so far say about whether the request ran."""
 
-    __slots__ = ("_has_run", "_is_unknown")
+    __slots__ = ("_has_run", "_in_progress", "_is_unknown")
 
     def __init__(self) -> None:
         self._has_run = False
         self._is_unknown = False
+        self._in_progress = 0
+
+    def note_sent(self) -> None:
+        """Take in that an attempt is about to leave."""
+        self._in_progress += 1
+
+    def note_result(self) -> None:
+        """Take in that a sent attempt has ended with a result."""
+        self._in_progress -= 1
 
     def note(self, result: adapter.RunError) -> None:
         """Take in an attempt without an answer."""
@@ -39,7 +48,7 @@
 
         :param refusal: told when nothing can have run
         """
-        if self._is_unknown:
+        if self._is_unknown or self._in_progress:
             return errors.BronzequayError(
                 Code.OUTCOME_UNKNOWN, "the request was sent and no answer came back"
             )
@@ -75,14 +84,14 @@
             once=self._once, gate=gate, table=table, tokens=tokens, recent=recent
         )
 
-    async def run(self, req: model.Request, *, deadline: float) -> model.Response:
+    async def run(self, req: model.Request, *, deadline: float, known: Knowledge) -> model.Response:
         """Run a request until an answer, a certain end or the deadline.
 
         :param deadline: time on the runtime's clock
+        :param known: changed in place; holds what is known if this is cancelled
         :raises BronzequayError: as ``bronzequay.route.router.Router.send``
         """
         self._tokens.earn()
-        known = Knowledge()
         tried: set[ids.ExecutorId] = set()
         for _ in range(MAX_ATTEMPTS):
             try:
@@ -93,7 +102,6 @@
             result = await self._attempt(req, grant, deadline, tried, known)
             if isinstance(result, model.Response):
                 return result
-            known.note(result)
             if not self._may_retry(req, result):
                 break
         raise known.error()
@@ -114,22 +122,21 @@
         known: Knowledge,
     ) -> model.Response | adapter.RunError:
         if not req.idempotent:
-            return await self._once(req, grant, deadline)
-        flight = hedge.Flight(req, grant.executor.executor, deadline, tried)
+            return await self._once(req, grant, deadline, known)
+        flight = hedge.Flight(req, grant.executor.executor, deadline, tried, known)
         self.hedger.watch(flight)
         result: model.Response | adapter.RunError | None = None
         try:
             with flight.scope:
-                result = await self._once(req, grant, deadline)
+                result = await self._once(req, grant, deadline, known)
             if isinstance(result, adapter.RunError):
-                known.note(result)
                 result = await flight.hedged(result)
         finally:
             flight.end()
         return flight.answer or result or hedge.no_result()
 
     async def _once(
-        self, req: model.Request, grant: admission.Grant, deadline: float
+        self, req: model.Request, grant: admission.Grant, deadline: float, known: Knowledge
     ) -> model.Response | adapter.RunError:
         """Make one attempt and give its slot back."""
         executor = grant.executor
@@ -140,11 +147,15 @@
             left_s = deadline - sent_s
             if left_s <= 0:
                 return adapter.NeverSentError(Code.DEADLINE_PASSED, "the deadline passed")
+            known.note_sent()
             answer = await self._client.call(
                 executor.address, request_id=req.request_id, body=req.body, deadline_s=left_s
             )
+            known.note_result()
             self._note_answer(executor.executor, answer, trio.current_time() - sent_s)
         except adapter.RunError as exc:
+            known.note_result()
+            known.note(exc)
             self._note_error(req, executor.executor, exc)
             return exc
         finally:
--- a/src/bronzequay/route/hedge.py
+++ b/src/bronzequay/route/hedge.py
@@ -14,10 +14,10 @@
     from collections.abc import Awaitable, Callable
 
     from bronzequay import ids
-    from bronzequay.route import admission, budget, latency, model, slots
+    from bronzequay.route import admission, attempts, budget, latency, model, slots
 
     Result = model.Response | adapter.RunError
-    Once = Callable[[model.Request, admission.Grant, float], Awaitable[Result]]
+    Once = Callable[[model.Request, admission.Grant, float, attempts.Knowledge], Awaitable[Result]]
 
 DOUBT_AFTER_S = 0.25
 
@@ -26,6 +26,7 @@
     """An attempt in progress and its hedge.
 
     :param tried: executors that the request was sent to; the hedge adds its own
+    :param known: what the attempts say about whether the request ran
     """
 
     __slots__ = (
@@ -36,6 +37,7 @@
         "hedge_error",
         "hedge_scope",
         "is_over",
+        "known",
         "req",
         "scope",
         "since_s",
@@ -48,8 +50,10 @@
         executor: ids.ExecutorId,
         deadline: float,
         tried: set[ids.ExecutorId],
+        known: attempts.Knowledge,
     ) -> None:
         self.req = req
+        self.known = known
         self.executor = executor
         self.deadline = deadline
         self.tried = tried
@@ -153,7 +157,7 @@
     ) -> None:
         try:
             with scope:
-                result = await self._once(flight.req, grant, flight.deadline)
+                result = await self._once(flight.req, grant, flight.deadline, flight.known)
                 if isinstance(result, adapter.RunError):
                     flight.hedge_error = result
                 else:
--- a/src/bronzequay/route/ports.py
+++ b/src/bronzequay/route/ports.py
@@ -5,8 +5,9 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from bronzequay import ids
+    from bronzequay import errors, ids
     from bronzequay.route import model
+    from bronzequay.store import client, purpose
     from bronzequay.work import executor
 
 
@@ -34,7 +35,7 @@
         """
         ...
 
-    def settle(self, req: model.Request, answer: model.Response | Exception) -> None:
+    def settle(self, req: model.Request, outcome: model.Response | errors.BronzequayError) -> None:
         """Record the outcome of a claimed request soon, without waiting."""
         ...
 
@@ -42,5 +43,27 @@
         """Write claims until cancelled."""
         ...
 
+    async def drain(self) -> None:
+        """Wait until every outcome is recorded, for a bounded time."""
+        ...
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the operators' dump."""
+        ...
+
+
+class ClaimStore(Protocol):
+    """The part of the store client that claims use."""
+
+    async def get(self, key: str, *, purpose: purpose.Purpose) -> client.Entry | None:
+        """Read a key."""
+        ...
+
+    async def put(
+        self, key: str, value: bytes, *, rev: ids.Revision, purpose: purpose.Purpose
+    ) -> ids.Revision:
+        """Write a key if its revision is still ``rev``."""
+        ...
+
 
-__all__ = ["ClaimBook", "RunClient"]
+__all__ = ["ClaimBook", "ClaimStore", "RunClient"]
--- a/src/bronzequay/route/router.py
+++ b/src/bronzequay/route/router.py
@@ -105,10 +105,11 @@
             nursery.start_soon(self._runner.hedger.run)
 
     async def drain(self) -> None:
-        """Refuse new requests and wait until none is in progress."""
+        """Refuse new requests, wait until none is in progress and record their outcomes."""
         self._is_draining = True
         if self._in_progress:
             await self._idle.wait()
+        await self._claims.drain()
 
     def dump(self) -> dict[str, object]:
         """Return the state for the operators' dump."""
@@ -123,6 +124,7 @@
             "p95_s": self._recent.p95_s(),
             "executors": self._table.dump(),
             "health": self._records.dump(),
+            "claims": self._claims.dump(),
         }
 
     async def _send(self, req: model.Request, deadline: float) -> model.Response:
@@ -132,18 +134,21 @@
             raise _refusal(Code.DEADLINE_PASSED, "the deadline had passed on arrival")
         if not self._table.is_open():
             raise _refusal(Code.NO_EXECUTOR, "no executor takes new work")
+        known = attempts.Knowledge()
         if req.idempotent:
-            return await self._runner.run(req, deadline=deadline)
-        known = await self._claims.claim(req, deadline_s=req.deadline_s)
-        if known is not None:
-            return known
+            return await self._runner.run(req, deadline=deadline, known=known)
+        earlier = await self._claims.claim(req, deadline_s=req.deadline_s)
+        if earlier is not None:
+            return earlier
+        outcome: model.Response | errors.BronzequayError | None = None
         try:
-            answer = await self._runner.run(req, deadline=deadline)
+            outcome = await self._runner.run(req, deadline=deadline, known=known)
         except errors.BronzequayError as exc:
-            self._claims.settle(req, exc)
+            outcome = exc
             raise
-        self._claims.settle(req, answer)
-        return answer
+        finally:
+            self._claims.settle(req, outcome or known.error())
+        return outcome
 
     def _set_closed(self, executors: Collection[ids.ExecutorId]) -> None:
         self._table.set_closed(executors)
--- a/tests/route/fleet.py
+++ b/tests/route/fleet.py
@@ -9,14 +9,16 @@
 
 import trio
 
-from bronzequay import codes, ids
+from bronzequay import codes, errors, ids
 from bronzequay.route import claims, model, router
+from bronzequay.store import client
 from bronzequay.work import executor as adapter
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from bronzequay.route import ports
+    from bronzequay.store import purpose
 
 SERVICE = ids.ServiceId("clasificador")
 DATA_CENTRE = ids.DataCentreId("almacen-a")
@@ -140,13 +142,119 @@
         return adapter.Answer(body, held, "leaving" if name in self.leaving else "live")
 
 
+class MemoryStore:
+    """Values of the store in memory, with faults.
+
+    :param delay_s: time that each call takes, half before its effect
+    """
+
+    def __init__(self, *, delay_s: float = 0.002) -> None:
+        self.values: dict[str, client.Entry] = {}
+        self.delay_s = delay_s
+        self.is_down = False
+        self.is_silent = False
+        self.lose_next = 0
+        self.late_s = 0.0
+        self.late: list[tuple[float, str, bytes, ids.Revision]] = []
+        self.writes = 0
+        self.reads = 0
+        self.biggest = 0
+
+    async def get(self, key: str, *, purpose: purpose.Purpose) -> client.Entry | None:
+        del purpose
+        self.reads += 1
+        await self._before()
+        self._land_late()
+        entry = self.values.get(key)
+        await trio.sleep(self.delay_s / 2)
+        return entry
+
+    async def put(
+        self, key: str, value: bytes, *, rev: ids.Revision, purpose: purpose.Purpose
+    ) -> ids.Revision:
+        del purpose
+        self.writes += 1
+        self.biggest = max(self.biggest, len(value))
+        await self._before()
+        self._land_late()
+        if self.lose_next and self.late_s:
+            self.lose_next -= 1
+            self.late.append((trio.current_time() + self.late_s, key, value, rev))
+            raise _error(codes.ResultCode.STORE_TIMEOUT)
+        new = self._write(key, value, rev)
+        if new is None:
+            raise _error(codes.ResultCode.STORE_CONFLICT)
+        if self.lose_next:
+            self.lose_next -= 1
+            raise _error(codes.ResultCode.STORE_TIMEOUT)
+        await trio.sleep(self.delay_s / 2)
+        return new
+
+    async def _before(self) -> None:
+        if self.is_silent:
+            await trio.sleep(2)
+            raise _error(codes.ResultCode.STORE_TIMEOUT)
+        await trio.sleep(self.delay_s / 2)
+        if self.is_down:
+            raise _error(codes.ResultCode.STORE_UNAVAILABLE)
+
+    def _land_late(self) -> None:
+        due = [each for each in self.late if each[0] <= trio.current_time()]
+        for each in due:
+            self.late.remove(each)
+            self._write(*each[1:])
+
+    def _write(self, key: str, value: bytes, rev: ids.Revision) -> ids.Revision | None:
+        held = self.values.get(key)
+        if rev != (held.rev if held else 0):
+            return None
+        new = ids.Revision(rev + 1)
+        self.values[key] = client.Entry(key, value, new)
+        return new
+
+
+class NoClaims:
+    """Claims for requests without keys."""
+
+    async def claim(self, req: model.Request, *, deadline_s: float) -> model.Response | None:
+        del deadline_s
+        assert req.key is None
+        return None
+
+    def settle(self, req: model.Request, outcome: object) -> None:
+        del outcome
+        assert req.key is None
+
+    async def run(self) -> None:
+        await trio.sleep_forever()
+
+    async def drain(self) -> None:
+        return
+
+    def dump(self) -> dict[str, object]:
+        return {}
+
+
+def make_claims(store: MemoryStore, instance: str = "i1") -> claims.Claims:
+    return claims.Claims(
+        store=store,
+        service=SERVICE,
+        instance=ids.InstanceId(instance),
+        wall_clock=trio.current_time,
+    )
+
+
+def _error(code: codes.ResultCode) -> errors.BronzequayError:
+    return errors.BronzequayError(code, "by the test")
+
+
 def make_router(
     fleet: Fleet, *, instances: int = 7, book: ports.ClaimBook | None = None
 ) -> router.Router:
     made = router.Router(
         service=SERVICE,
         client=fleet,
-        claims=book or claims.LocalClaims(),
+        claims=book or NoClaims(),
         instances=lambda: instances,
     )
     made.set_executors(fleet.listed())
--- a/tests/route/test_router.py
+++ b/tests/route/test_router.py
@@ -65,9 +65,12 @@
     autojump_clock: trio.abc.Clock,
 ) -> None:
     fleet = fleets.Fleet()
-    made = fleets.make_router(fleet)
-    first = await made.send(fleets.make_request(1, key="k"))
-    second = await made.send(fleets.make_request(2, key="k"))
+    made = fleets.make_router(fleet, book=fleets.make_claims(fleets.MemoryStore()))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(made.run)
+        first = await made.send(fleets.make_request(1, key="k", body=b"body 1"))
+        second = await made.send(fleets.make_request(2, key="k", body=b"body 1"))
+        nursery.cancel_scope.cancel()
     assert (first.body, second.body) == (b"body 1", b"body 1")
     assert second.request_id == "r2"
     assert set(fleet.runs) == {"r1"}
