--- a/src/bronzequay/route/claims.py
+++ b/src/bronzequay/route/claims.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import itertools
+import secrets
 import time
 from typing import TYPE_CHECKING
 
@@ -25,7 +26,7 @@
 FIRST_POLL_S = 0.25
 MAX_POLL_S = 4.0
 DRAIN_TIMEOUT_S = 5.0
-MICROSECONDS_PER_S = 1_000_000
+INCARNATION_BYTES = 4
 
 Code = codes.ResultCode
 Outcome = model.Response | errors.BronzequayError
@@ -64,7 +65,8 @@
         wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self._instance = instance
-        self._serial = itertools.count(int(wall_clock() * MICROSECONDS_PER_S))
+        self._incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self._serial = itertools.count()
         self._sends: dict[bytes, _Send] = {}
         self._writers = [
             claim_writer.Writer(
@@ -156,7 +158,7 @@
     def _new_claim(self, req: model.Request) -> claim_bucket.Claim:
         return claim_bucket.Claim(
             state=claim_bucket.ClaimState.CLAIMED,
-            owner=f"{self._instance}/{next(self._serial)}",
+            owner=f"{self._instance}/{self._incarnation}/{next(self._serial)}",
             body=claim_bucket.body_digest_of(req),
         )
 
--- a/src/bronzequay/route/router.py
+++ b/src/bronzequay/route/router.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
 import trio
 
-from bronzequay import codes, errors
+from bronzequay import codes, errors, ids
 from bronzequay.route import admission, attempts, budget, health, latency, model, probe, slots
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Sequence
 
-    from bronzequay import ids
     from bronzequay.route import ports
 
 RETRY_AFTER_S = 1.0
@@ -65,6 +65,7 @@
         self._sends = 0
         self._sends_seen = 0
         self._in_progress = 0
+        self._ids: set[ids.RequestId] = set()
         self._is_draining = False
         self._idle = trio.Event()
 
@@ -88,14 +89,21 @@
         """
         if self._is_draining:
             raise _refusal(Code.SHUTTING_DOWN, "this instance is shutting down")
+        deadline = trio.current_time() + req.deadline_s
+        sent = self._with_own_id(req)
         self._sends += 1
         self._in_progress += 1
+        self._ids.add(sent.request_id)
         try:
-            return await self._send(req, trio.current_time() + req.deadline_s)
+            answer = await self._send(sent, deadline)
         finally:
+            self._ids.discard(sent.request_id)
             self._in_progress -= 1
             if self._is_draining and not self._in_progress:
                 self._idle.set()
+        if sent is req:
+            return answer
+        return msgspec.structs.replace(answer, request_id=req.request_id)
 
     async def run(self) -> None:
         """Do the background work until cancelled."""
@@ -150,6 +158,13 @@
             self._claims.settle(req, outcome or known.error())
         return outcome
 
+    def _with_own_id(self, req: model.Request) -> model.Request:
+        """Tell requests in progress apart whose callers chose the same id."""
+        if req.request_id not in self._ids:
+            return req
+        own = ids.RequestId(f"{req.request_id}~{self._sends}")
+        return msgspec.structs.replace(req, request_id=own)
+
     def _set_closed(self, executors: Collection[ids.ExecutorId]) -> None:
         self._table.set_closed(executors)
         self._gate.grant()
