--- a/src/bronzequay/policy/planning.py
+++ b/src/bronzequay/policy/planning.py
@@ -34,7 +34,7 @@
     """Plan a borrower where others are stopped for it."""
     need = placement.need_of(record)
     fill = placement.fill_evicting(need, price)
-    return _find(state, record, need, _open_metric(need), fill)
+    return _find(state, record, need, _open_metric(need), fill, is_bound=False)
 
 
 def fixed(
@@ -73,6 +73,7 @@
         fill,
         new_draft=lambda: search.Draft(budget=list(budget)),
         first=dict.fromkeys(racks),
+        is_bound=not racks,
     )
 
 
@@ -82,11 +83,21 @@
     entry = state.book.orgs.get(record.spec.org)
     if entry is None or not need.accelerators:
         return False
-    if entry.roomy:
-        return True
     at_level = cells.level(need.accelerators)
     rooms = (max(0, count) << up >> at_level for up, count in enumerate(entry.unbound))
-    return sum(rooms) >= need.members
+    room = sum(rooms)
+    for mask in entry.roomy.values():
+        if room >= need.members:
+            break
+        room += len(cells.inside(mask, at_level))
+    return room >= need.members
+
+
+def fits_by_count(state: states.State, record: model.JobRecord) -> bool:
+    """Return whether as many accelerators are free as a gang takes, wherever they are."""
+    need = placement.need_of(record)
+    free = state.fleet.region.sums[fleet.FREE]
+    return 0 < need.members * need.accelerators <= free
 
 
 def _open_metric(need: search.Need) -> int:
@@ -104,6 +115,7 @@
     *,
     new_draft: Callable[[], search.Draft] = search.Draft,
     first: Iterable[fleet.RackKey] = (),
+    is_bound: bool = True,
 ) -> search.Draft | None:
     avoided = avoid(state, record, need)
 
@@ -119,6 +131,7 @@
         fill=fill_others if avoided else fill,
         new_draft=new_draft,
         first=first,
+        is_bound=is_bound,
     )
 
 
@@ -152,6 +165,7 @@
     "avoid",
     "borrowed",
     "evicting",
+    "fits_by_count",
     "fixed",
     "guaranteed",
     "may_be_guaranteed",
