Give each request to an executor a connection of its own

Cause, by profile of 2,000 sends at 16 at once: the HTTP client's pool looks at every connection for every request (517,166 calls of is_idle) and hands one connection to several requests at once, so each was tried about 10 times (21,518 calls of the connection for 2,000 requests). Runs now take idle one-connection transports of the same library, by executor.

--- a/src/bronzequay/instance.py
+++ b/src/bronzequay/instance.py
@@ -68,7 +68,9 @@
         self.registry = auth.Registry(first=auth.parse_first(cfg.operator_tokens))
         self.holder.on_change(self._on_bundle)
         self._watch = watch.Watch(self.store, prefix=rollout.HEAD_KEY)
-        self._executors = executor_client.ExecutorClient(http=self._http)
+        self._executors = executor_client.ExecutorClient(
+            http=self._http, connect=executor_client.connector()
+        )
         self.routers: dict[ids.ServiceId, router.Router] = {}
         self.discovery = Discovery(
             store=self.store,
--- a/src/bronzequay/work/executor.py
+++ b/src/bronzequay/work/executor.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import ssl
 from typing import TYPE_CHECKING
 
 import httpx
@@ -11,7 +13,7 @@
 from bronzequay import codes, errors, ids
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
 CONNECT_SHARE = 0.5
 MAX_CONNECT_S = 1.0
@@ -23,6 +25,8 @@
 LIVE = "live"
 LEAVING = "leaving"
 MAX_BUSY_DIGITS = 6
+KEEPALIVE_S = 4.0
+MAX_IDLE_S = 60.0
 
 _NEVER_LEFT = (
     httpx.ConnectError,
@@ -90,14 +94,74 @@
     state: str
 
 
+class Connections:
+    """Idle connections by executor, each used by one request at a time.
+
+    :param connect: makes the transport of one connection
+    """
+
+    def __init__(self, connect: Callable[[], httpx.AsyncBaseTransport]) -> None:
+        self._connect = connect
+        self._idle: dict[str, collections.deque[tuple[float, httpx.AsyncBaseTransport]]] = {}
+        self._urls: dict[str, httpx.URL] = {}
+
+    async def post(
+        self, url: str, *, headers: Mapping[str, str], body: bytes, limits: httpx.Timeout
+    ) -> httpx.Response:
+        """Send a request and return its whole answer; a connection that fails is closed."""
+        idle = self._idle.setdefault(url, collections.deque())
+        parsed = self._urls.get(url) or self._urls.setdefault(url, httpx.URL(url))
+        extensions = {"timeout": limits.as_dict()}
+        req = httpx.Request("POST", parsed, headers=headers, content=body, extensions=extensions)
+        transport = idle.pop()[1] if idle else self._connect()
+        is_whole = False
+        try:
+            answer = await transport.handle_async_request(req)
+            await answer.aread()
+            is_whole = True
+        finally:
+            if not is_whole:
+                await _close(transport)
+        idle.append((trio.current_time(), transport))
+        if idle[0][0] < trio.current_time() - MAX_IDLE_S:
+            await _close(idle.popleft()[1])
+        return answer
+
+
+async def _close(transport: httpx.AsyncBaseTransport) -> None:
+    with trio.CancelScope(shield=True):
+        await transport.aclose()
+
+
+def connector() -> Callable[[], httpx.AsyncBaseTransport]:
+    """Return a maker of transports that hold one TCP connection each."""
+    context = ssl.create_default_context()
+    limits = httpx.Limits(
+        max_connections=1, max_keepalive_connections=1, keepalive_expiry=KEEPALIVE_S
+    )
+
+    def connect() -> httpx.AsyncBaseTransport:
+        return httpx.AsyncHTTPTransport(verify=context, limits=limits, trust_env=False)
+
+    return connect
+
+
 class ExecutorClient:
     """Calls executors; one for all executors of a process.
 
     :param http: client whose own timeouts are not used
+    :param connect: makes the transport of one connection; when given, runs take one each
+        and leave the client's pool alone, whose cost grows with its connections
     """
 
-    def __init__(self, *, http: httpx.AsyncClient) -> None:
+    def __init__(
+        self,
+        *,
+        http: httpx.AsyncClient,
+        connect: Callable[[], httpx.AsyncBaseTransport] | None = None,
+    ) -> None:
         self._http = http
+        self._connections = None if connect is None else Connections(connect)
 
     async def run(
         self, address: str, *, request_id: ids.RequestId, body: bytes, deadline_s: float
@@ -161,7 +225,9 @@
         # The connect phase ends before the deadline, so what the deadline cuts has been sent.
         timeout = httpx.Timeout(None, connect=connect_s / 2, pool=connect_s / 2)
         try:
-            return await self._http.post(url, headers=headers, content=body, timeout=timeout)
+            if self._connections is None:
+                return await self._http.post(url, headers=headers, content=body, timeout=timeout)
+            return await self._connections.post(url, headers=headers, body=body, limits=timeout)
         except _NEVER_LEFT as exc:
             raise NeverSentError(codes.ResultCode.NO_EXECUTOR, _said(exc)) from exc
         except httpx.HTTPError as exc:
@@ -202,6 +268,7 @@
 
 __all__ = [
     "Answer",
+    "Connections",
     "Description",
     "ExecutorClient",
     "FailedError",
@@ -210,4 +277,5 @@
     "RunError",
     "SilentError",
     "UnknownOutcomeError",
+    "connector",
 ]
