--- a/bench/slots.py
+++ b/bench/slots.py
@@ -111,6 +111,7 @@
         self.now_s = sim.now_s
         table, name = self.tables[run.instance], ids.ExecutorId(str(run.executor))
         table.observe(name, busy=present)
+        table.note_heard(name)
         table.release(name, run_s=sim.now_s - run.sent_s)
 
     def tick(self, sim: Simulation) -> None:
@@ -121,6 +122,7 @@
                 continue
             for executor in table.stale():
                 present = sim.fleet[int(executor.executor)].present
+                table.note_heard(executor.executor)
                 table.observe_description(executor.executor, busy=min(SLOTS, present))
 
     def _make(self, seed: int) -> slots.SlotTable:
@@ -291,7 +293,7 @@
             self._at(self.now_s + TICK_S, self._tick)
 
 
-def measure(seed: int) -> dict[str, dict[str, dict[str, float]]]:
+def measure(seed: int, only: str | None = None) -> dict[str, dict[str, dict[str, float]]]:
     """Run every way under every load and spread."""
     rng = random.Random(seed)
     ways: dict[str, Callable[[], Way]] = {
@@ -312,6 +314,7 @@
             for load in LOADS
         }
         for name, make in ways.items()
+        if only in {None, name}
     }
 
 
@@ -319,9 +322,10 @@
     """Print the comparison."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--way", help="measure this way only")
     parser.add_argument("--json", action="store_true")
     args = parser.parse_args()
-    result = measure(args.seed)
+    result = measure(args.seed, args.way)
     if args.json:
         print(json.dumps(result))
         return
--- a/tests/fakes/test_executor.py
+++ b/tests/fakes/test_executor.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import base64
+import functools
 from typing import Any
 
 import httpx
@@ -9,6 +10,7 @@
 
 from bronzequay import ids
 from bronzequay.fakes import executor as fake
+from bronzequay.fakes import serve
 
 X1 = ids.ExecutorId("x1")
 X2 = ids.ExecutorId("x2")
@@ -118,3 +120,17 @@
             nursery.start_soon(send, number)
     assert cut == 1
     assert len((await http.get("/runs")).json()) == 64
+
+
+async def test_lost_answer_on_a_real_connection_is_no_answer() -> None:
+    app = fake.make_app(
+        [X1], service=ids.ServiceId("hire-desk"), data_centre=ids.DataCentreId("nottm-yard")
+    )
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(functools.partial(serve.serve, app, host="127.0.0.1", port=0))
+        async with httpx.AsyncClient(base_url=f"http://127.0.0.1:{port}", timeout=30) as http:
+            await http.put("/faults", json={"lose_answers": 1.0})
+            with pytest.raises(httpx.RemoteProtocolError):
+                await post(http, "r1")
+            assert (await http.get("/runs")).json() == {"r1": 1}
+        nursery.cancel_scope.cancel()
