--- a/src/bronzequay/policy/core.py
+++ b/src/bronzequay/policy/core.py
@@ -17,6 +17,7 @@
     ordering,
     overuse,
     placement,
+    predict,
     preemption,
 )
 from bronzequay.policy import state as states
@@ -66,7 +67,7 @@
         states.set_infeasible(state, record)
     elif record.state is model.JobState.FINISHED and record.started_s is not None:
         ran_s = record.attained_s + (record.ended_s or record.started_s) - record.started_s
-        ordering.learn(state.queues, record.spec, ran_s)
+        predict.learn(state.queues.history, record.spec, ran_s)
 
 
 def _restore_placed(state: State, record: model.JobRecord) -> None:
@@ -228,6 +229,7 @@
 
 def _refit(state: State, now_s: float) -> None:
     _share_out(state)
+    lifecycle.drop_shaken_claims(state)
     admission.reexamine(state, now_s)
 
 
--- a/src/bronzequay/policy/dispatch.py
+++ b/src/bronzequay/policy/dispatch.py
@@ -33,8 +33,10 @@
 """Gangs beyond their guarantees for which others are being stopped at once."""
 MAX_AGED_CLAIMS = 2
 """The same for gangs that have waited too long."""
-AGED_S = 1_800.0
+AGED_S = 4 * 3_600.0
 """Waiting time beyond its rank's delay that makes a job aged, in seconds."""
+MAX_SHORTER_CLAIMS = 4
+"""Gangs for which longer work is being stopped at once."""
 MAX_MIGRATIONS = 4
 """Gangs for which others are being moved at once."""
 WALK_PERIOD_S = 15.0
@@ -263,13 +265,19 @@
         return
     size = states.size(state, placement.need_of(record))
     is_under = ordering.is_under(state.queues, record.spec, size)
-    if is_urgent and is_under:
-        yield Right("urgent", preemption.for_urgent(state, now_s), bound_s)
+    if is_urgent:
+        price = preemption.for_urgent_of(state, now_s, record)
+        if is_under:
+            price = preemption.for_urgent(state, now_s)
+        yield Right("urgent", price, bound_s)
     if _is_below_floor(state, record.spec.urgency):
         price = preemption.for_floor(state, now_s, record.spec.urgency)
         yield Right("floor", price, bound_s)
     if is_under:
         yield Right("fair share", preemption.for_due(state, now_s), bound_s)
+    if _claims_by(state, "shorter work") < MAX_SHORTER_CLAIMS:
+        price = preemption.for_shorter(state, now_s, record)
+        yield Right("shorter work", price, bound_s)
     if _claims_by(state, "migration") < MAX_MIGRATIONS and planning.fits_by_count(state, record):
         price = preemption.for_migration(state, now_s, record)
         yield Right("migration", price, bound_s, max_cost=preemption.worth(state, record))
--- a/src/bronzequay/policy/guarantees.py
+++ b/src/bronzequay/policy/guarantees.py
@@ -125,7 +125,7 @@
 
     :return: gangs whose cells are no longer guaranteed, to be taken out by ``leave``
     """
-    for org in set(book.orgs) | set(orgs):
+    for org in sorted(set(book.orgs) | set(orgs)):
         rules = orgs.get(org)
         _set_total(book, org, levels_of(rules.guarantee if rules else ()))
     losers: set[ids.JobId] = set()
@@ -250,7 +250,7 @@
     if seating is None:
         return
     _hold_firm(book, flt, seating, -1)
-    for cell in {seat.cell for seat in seating.seats}:
+    for cell in dict.fromkeys(seat.cell for seat in seating.seats):
         if seating.share is model.Share.GUARANTEED:
             _unbind(book, flt, seating, cell)
         else:
--- a/src/bronzequay/policy/lifecycle.py
+++ b/src/bronzequay/policy/lifecycle.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from bronzequay import codes
-from bronzequay.policy import admission, cells, fleet, guarantees, health, model, ordering
+from bronzequay.policy import admission, cells, fleet, guarantees, health, model, predict
 from bronzequay.policy import state as states
 
 if TYPE_CHECKING:
@@ -59,7 +59,7 @@
     names = frozenset(place.worker for place in record.placements)
     for name in health.ran(state.health, record.job, names):
         set_quarantine(state, name, now_s)
-    for name in names:
+    for name in sorted(names):
         worker = state.fleet.workers.get(name)
         if worker is not None and worker.is_probing:
             fleet.set_quarantined(state.fleet, worker, is_quarantined=False)
@@ -73,6 +73,7 @@
         fleet.set_quarantined(state.fleet, worker, is_quarantined=True)
         guarantees.follow(state.book, state.fleet, name)
         drop_claims_on(state, worker)
+        drop_shaken_claims(state)
 
 
 def drop_claims_on(state: states.State, worker: fleet.Worker) -> None:
@@ -81,6 +82,16 @@
         states.drop_claim(state, job)
 
 
+def drop_shaken_claims(state: states.State) -> None:
+    """Give up plans made before workers were lost, when guarantees have become short."""
+    book, flt = state.book, state.fleet
+    if not guarantees.short(book, flt) and not guarantees.firm_short(book, flt):
+        return
+    for job in tuple(state.claims):
+        if state.claims[job].share is not model.Share.BORROWED:
+            states.drop_claim(state, job)
+
+
 def on_member_failed(
     state: states.State, event: model.MemberFailed, now_s: float
 ) -> tuple[model.Command, ...]:
@@ -123,7 +134,7 @@
         return ()
     if record.started_s is not None:
         ran_s = record.attained_s + now_s - record.started_s
-        ordering.learn(state.queues, record.spec, ran_s)
+        predict.learn(state.queues.history, record.spec, ran_s)
     states.move(state, record, model.JobState.FINISHED, codes.ResultCode.OK, now_s)
     return ()
 
@@ -227,6 +238,7 @@
 __all__ = [
     "current",
     "drop_claims_on",
+    "drop_shaken_claims",
     "hold_for_good",
     "on_finished",
     "on_held",
--- a/src/bronzequay/policy/ordering.py
+++ b/src/bronzequay/policy/ordering.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from bronzequay import ids
-from bronzequay.policy import model
+from bronzequay.policy import model, predict
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator, Mapping
@@ -23,9 +23,9 @@
 CallerKey = tuple[ids.OrgId, ids.CallerId]
 LaneKey = tuple[ids.OrgId, ids.CallerId, model.Urgency]
 
-DELAY_PER_WORK = 30.0
+DELAY_PER_WORK = 300.0
 """Seconds of delay for each second that the whole fleet needs for a job's predicted work."""
-MAX_DELAY_S = 6 * 3600.0
+MAX_DELAY_S = 24 * 3600.0
 """Longest delay on account of predicted work, in seconds."""
 CLASS_DELAY_S: Mapping[model.Urgency, float] = {
     model.Urgency.URGENT: -3600.0,
@@ -33,12 +33,6 @@
     model.Urgency.LOW: 3600.0,
 }
 """Delay on account of the urgency class, in seconds."""
-PRIOR_SAMPLES = 2.0
-"""Weight of the assumption that a caller's declarations are right, in finished jobs."""
-MAX_SAMPLES = 20.0
-"""Finished jobs over which a caller's error is averaged."""
-MAX_ERROR = 10.0
-"""Largest factor, either way, that one job's error counts for."""
 MIN_PREDICTED_S = 1.0
 """Shortest predicted run time, in seconds."""
 
@@ -78,13 +72,6 @@
     callers: int = 0
 
 
-class Learnt(msgspec.Struct):
-    """Mean logarithm of actual over declared run time of a caller's finished jobs."""
-
-    mean: float = 0.0
-    samples: float = 0.0
-
-
 class Queues(msgspec.Struct):
     """All waiting jobs and what the placed ones hold.
 
@@ -104,7 +91,7 @@
         default_factory=lambda: {urgency: Usage() for urgency in model.Urgency}
     )
     sizes: dict[ids.JobId, float] = msgspec.field(default_factory=dict)
-    learnt: dict[CallerKey, Learnt] = msgspec.field(default_factory=dict)
+    history: predict.History = msgspec.field(default_factory=predict.History)
     active_orgs: int = 0
     active_guaranteed: float = 0.0
 
@@ -114,33 +101,22 @@
     return (spec.org, spec.caller, spec.urgency)
 
 
-def predicted_s(queues: Queues, record: model.JobRecord) -> float:
+def predicted_s(queues: Queues, record: model.JobRecord, ran_s: float = 0.0) -> float:
     """Return the predicted remaining run time of a job, in seconds.
 
-    The declared time is corrected by the caller's learnt error; a job that has already run
-    for longer than that is expected to need as much again as it has attained.
+    A job that has already run for most of what ``predict`` says, or longer, is expected to
+    need a good part of what it has attained once more.
+
+    :param ran_s: run time of the current attempt, in seconds
     """
-    spec = record.spec
-    learnt = queues.learnt.get((spec.org, spec.caller), Learnt())
-    weight = learnt.samples / (learnt.samples + PRIOR_SAMPLES)
-    whole = spec.declared_s * math.exp(learnt.mean * weight)
-    left = whole - record.attained_s
+    attained_s = record.attained_s + ran_s
+    whole = predict.whole_s(queues.history, record.spec)
+    left = whole - attained_s
     if left < whole / 2:
-        left = max(left, min(whole / 2, record.attained_s), record.attained_s - whole)
+        left = max(left, min(whole / 2, attained_s), attained_s - whole)
     return max(MIN_PREDICTED_S, left)
 
 
-def learn(queues: Queues, spec: model.JobSpec, ran_s: float) -> None:
-    """Take the run time of a finished job into its caller's error."""
-    if spec.declared_s <= 0 or ran_s <= 0:
-        return
-    limit = math.log(MAX_ERROR)
-    error = max(-limit, min(limit, math.log(ran_s / spec.declared_s)))
-    learnt = queues.learnt.setdefault((spec.org, spec.caller), Learnt())
-    learnt.samples = min(MAX_SAMPLES, learnt.samples + 1)
-    learnt.mean += (error - learnt.mean) / learnt.samples
-
-
 def rank(queues: Queues, record: model.JobRecord, size: float) -> float:
     """Return a job's rank, in seconds since the Unix epoch.
 
@@ -225,7 +201,7 @@
 
 def set_guaranteed(queues: Queues, shares: Mapping[ids.OrgId, float]) -> None:
     """Adopt the share of the fleet that each guarantee covers."""
-    for org in set(queues.orgs) | set(shares):
+    for org in sorted(set(queues.orgs) | set(shares)):
         queues.orgs.setdefault(org, OrgUsage()).guaranteed = shares.get(org, 0.0)
     active = [usage for usage in queues.orgs.values() if usage.is_active]
     queues.active_guaranteed = sum(usage.guaranteed for usage in active)
@@ -330,7 +306,6 @@
     "hold",
     "is_over",
     "is_under",
-    "learn",
     "org_share",
     "predicted_s",
     "rank",
--- a/src/bronzequay/policy/preemption.py
+++ b/src/bronzequay/policy/preemption.py
@@ -15,7 +15,7 @@
 
 CHECKPOINT_BOUND_S = 30.0
 """Time that a gang has to keep its progress before it is stopped without, in seconds."""
-URGENT_BOUND_S = 4.0
+URGENT_BOUND_S = 5.5
 """The same when urgent work waits for it."""
 RESTART_COST_S = 60.0
 """Run time lost by a checkpoint and the later restart, in seconds."""
@@ -28,6 +28,8 @@
 MIN_RUN_S = 60.0
 """Run time before a gang is stopped for the sake of fair shares or aging, in seconds."""
 
+SHORTER_FACTOR = 4.0
+"""How much more work a gang must have left to be stopped for a shorter one."""
 MAX_WORTH_S = 600.0
 """Longest wait that the gangs moved for a start are weighed against, in seconds."""
 
@@ -71,14 +73,9 @@
 
 
 def for_urgent(state: states.State, now_s: float) -> placement.Price:
-    """Return the price for urgent work within its due.
-
-    Classes keep their floors, and gangs that would fail when stopped in haste are left alone.
-    """
+    """Return the price for urgent work within its due; classes keep their floors."""
 
     def may_stop(record: model.JobRecord) -> bool:
-        if not record.spec.idempotent:
-            return False
         if record.spec.urgency is model.Urgency.URGENT:
             return is_over_due(state, record)
         return is_above_floor(state, record)
@@ -86,6 +83,24 @@
     return _priced(state, now_s, may_stop)
 
 
+def for_urgent_of(state: states.State, now_s: float, urgent: model.JobRecord) -> placement.Price:
+    """Return the price for urgent work beyond its due: its organisation's own other work."""
+
+    def may_stop(record: model.JobRecord) -> bool:
+        is_urgent = record.spec.urgency is model.Urgency.URGENT
+        return record.spec.org == urgent.spec.org and not is_urgent
+
+    return _priced(state, now_s, may_stop)
+
+
+def bound_for(record: model.JobRecord, bound_s: float) -> float:
+    """Return the time that a gang has to keep its progress, in seconds.
+
+    A gang that would fail without its checkpoint is never stopped in haste.
+    """
+    return bound_s if record.spec.idempotent else max(bound_s, CHECKPOINT_BOUND_S)
+
+
 def for_due(state: states.State, now_s: float) -> placement.Price:
     """Return the price for work within its caller's due: those beyond theirs may be stopped."""
 
@@ -127,6 +142,25 @@
     return _priced(state, now_s, may_stop)
 
 
+def for_shorter(state: states.State, now_s: float, short: model.JobRecord) -> placement.Price:
+    """Return the price for a job with far less work left than those that may be stopped."""
+    most = work_left(state, short, now_s) * SHORTER_FACTOR
+
+    def may_stop(record: model.JobRecord) -> bool:
+        is_urgent = record.spec.urgency is model.Urgency.URGENT
+        return not is_urgent and has_run(record, now_s) and work_left(state, record, now_s) >= most
+
+    return _priced(state, now_s, may_stop)
+
+
+def work_left(state: states.State, record: model.JobRecord, now_s: float) -> float:
+    """Return the predicted work left of a job, in accelerator seconds."""
+    ran_s = 0.0
+    if record.state is model.JobState.RUNNING and record.started_s is not None:
+        ran_s = now_s - record.started_s
+    return _width(record) * ordering.predicted_s(state.queues, record, ran_s)
+
+
 def worth(state: states.State, record: model.JobRecord) -> float:
     """Return the lost work that a start now is worth, in accelerator seconds.
 
@@ -164,7 +198,7 @@
     state: states.State, record: model.JobRecord, bound_s: float, now_s: float, detail: str
 ) -> tuple[model.Command, ...]:
     """Tell a gang to keep its progress and stop, within a bound."""
-    due_s = now_s + bound_s
+    due_s = now_s + bound_for(record, bound_s)
     if record.state in _STOPPING:
         if record.job in state.stopping:
             state.stopping[record.job] = min(due_s, state.stopping[record.job])
@@ -190,7 +224,9 @@
     "for_floor",
     "for_guarantee",
     "for_migration",
+    "for_shorter",
     "for_urgent",
+    "for_urgent_of",
     "has_run",
     "is_above_floor",
     "is_borrower",
@@ -198,5 +234,6 @@
     "loss",
     "overdue",
     "reclaim",
+    "work_left",
     "worth",
 ]
--- a/src/bronzequay/policy/state.py
+++ b/src/bronzequay/policy/state.py
@@ -208,7 +208,7 @@
     fleet.release(state.fleet, record.job, sorted(names))
     ordering.release(state.queues, record)
     state.stopping.pop(record.job, None)
-    for name in names & state.absent.keys():
+    for name in sorted(names & state.absent.keys()):
         state.absent[name].discard(record.job)
     for job in state.claimants.pop(record.job, ()):
         if job in state.claims:
