--- a/bench/entitled.py
+++ b/bench/entitled.py
@@ -83,10 +83,10 @@
 
 def _update_org(waits: Waits, placed: shadow.Shadow, org: ids.OrgId, now_s: float) -> None:
     members = [
-        attempt.spec.accelerators
+        member
         for attempt in placed.attempts.values()
         if attempt.spec.org == org
-        for _ in attempt.placements
+        for member in shadow.members_of(attempt)
     ]
     cells = shadow.left_over(waits.rules.orgs[org].guarantee, members)
     for (count, accelerators), group in waits.groups[org].items():
--- a/bench/shadow.py
+++ b/bench/shadow.py
@@ -5,11 +5,12 @@
 - over-commitment: a start on a device in use, or beyond a worker's cores or memory;
 - broken guarantees: every organisation's unused guaranteed cells, all organisations
   together, must fit at once in accelerators that are free or held by reclaimable jobs.
-  A cell lies on one worker. Jobs that are not reclaimable use up their own organisation's
-  cells first, the smallest that holds the member; the rest of a split cell stays guaranteed
-  in halves. A start counts as a violation when it enlarges the accelerators of cells that
-  find no place; cells that fail only for the loss of a worker are no decision and do not
-  count.
+  A cell lies on one worker, so only members on one worker share a cell. A member of a job
+  that is not reclaimable uses up the rest of a cell that its organisation uses on the same
+  worker, or else the organisation's smallest unused cell that holds it; what is left of a
+  used cell stays guaranteed in halves. A start counts as a violation when it enlarges the
+  accelerators of cells that find no place; cells that fail only for the loss of a worker are
+  no decision and do not count.
 - partial gangs: a gang of which a member runs while another of its attempt does not.
 """
 
@@ -70,6 +71,13 @@
     firm: int = 0
 
 
+class Member(msgspec.Struct, frozen=True):
+    """A member of a gang, as the guarantees count it."""
+
+    worker: ids.WorkerId
+    accelerators: int
+
+
 class Shadow(msgspec.Struct):
     """Placements as the commands made them.
 
@@ -185,20 +193,28 @@
     :param shadow: read only
     :return: 0 while every guarantee can be carved out at once
     """
-    firm: dict[ids.OrgId, list[int]] = collections.defaultdict(list)
+    firm: dict[ids.OrgId, list[Member]] = collections.defaultdict(list)
     for attempt in shadow.attempts.values():
-        if not attempt.spec.reclaimable and attempt.spec.accelerators:
-            sizes = [attempt.spec.accelerators] * len(attempt.placements)
-            firm[attempt.spec.org].extend(sizes)
+        if not attempt.spec.reclaimable:
+            firm[attempt.spec.org].extend(members_of(attempt))
     room = [worker.spec.accelerators - worker.firm for worker in shadow.workers.values()]
     return unplaced(unused_cells(shadow.rules, firm), room)
 
 
-def unused_cells(rules: model.Rules, used: Mapping[ids.OrgId, Iterable[int]]) -> list[int]:
+def members_of(attempt: Attempt) -> list[Member]:
+    """Return an attempt's members that have accelerators.
+
+    :param attempt: the gang
+    """
+    size = attempt.spec.accelerators
+    return [Member(place.worker, size) for place in attempt.placements if size]
+
+
+def unused_cells(rules: model.Rules, used: Mapping[ids.OrgId, Iterable[Member]]) -> list[int]:
     """Return the guaranteed cells that no member uses, of all organisations.
 
     :param rules: the guarantees
-    :param used: accelerators of each member that counts against its organisation's cells
+    :param used: the members that count against their organisation's cells
     :return: sizes of the cells, in accelerators
     """
     cells: list[int] = []
@@ -207,22 +223,25 @@
     return cells
 
 
-def left_over(guarantee: Iterable[model.Shape], members: Iterable[int]) -> list[int]:
-    """Charge members to the smallest cells that hold them.
+def left_over(guarantee: Iterable[model.Shape], members: Iterable[Member]) -> list[int]:
+    """Charge members to cells, the largest first.
 
     :param guarantee: an organisation's cells
-    :param members: accelerators of each member; one that no cell holds is not charged
-    :return: sizes of the cells left over, what is split off in powers of two
+    :param members: its members; one that no cell holds is not charged
+    :return: sizes of the cells left over, what is left of a used one in powers of two
     """
     cells = sorted(shape.accelerators for shape in guarantee for _ in range(shape.count))
-    for member in sorted(members, reverse=True):
-        index = next((at for at, size in enumerate(cells) if size >= member), None)
+    opened: dict[ids.WorkerId, list[int]] = collections.defaultdict(list)
+    for member in sorted(members, key=lambda each: -each.accelerators):
+        rests = opened[member.worker]
+        source = rests if any(rest >= member.accelerators for rest in rests) else cells
+        index = next((at for at, size in enumerate(source) if size >= member.accelerators), None)
         if index is None:
             continue
-        rest = cells.pop(index) - member
-        cells.extend(1 << bit for bit in range(rest.bit_length()) if rest >> bit & 1)
-        cells.sort()
-    return cells
+        rest = source.pop(index) - member.accelerators
+        rests.extend(1 << bit for bit in range(rest.bit_length()) if rest >> bit & 1)
+        rests.sort()
+    return sorted([*cells, *(rest for rests in opened.values() for rest in rests)])
 
 
 def unplaced(cells: Iterable[int], room: Iterable[int]) -> int:
@@ -263,6 +282,7 @@
 
 __all__ = [
     "Attempt",
+    "Member",
     "Phase",
     "Shadow",
     "WorkerShadow",
@@ -270,6 +290,7 @@
     "free",
     "left_over",
     "lose_worker",
+    "members_of",
     "missing_guarantees",
     "new_shadow",
     "partial_gangs",
--- a/tests/bench/test_shadow.py
+++ b/tests/bench/test_shadow.py
@@ -60,13 +60,22 @@
 
 @pytest.mark.parametrize(
     ("members", "cells"),
-    [((), [4, 8]), ((4,), [8]), ((3,), [1, 8]), ((4, 1), [1, 2, 4]), ((16,), [4, 8])],
+    [
+        ((), [4, 8]),
+        (((0, 4),), [8]),
+        (((0, 3),), [1, 8]),
+        (((0, 4), (0, 1)), [1, 2, 4]),
+        (((0, 3), (0, 1)), [8]),
+        (((0, 3), (1, 1)), [1, 1, 2, 4]),
+        (((0, 16),), [4, 8]),
+    ],
 )
 def test_members_use_up_the_smallest_cells_that_hold_them(
-    members: tuple[int, ...], cells: list[int]
+    members: tuple[tuple[int, int], ...], cells: list[int]
 ) -> None:
     guarantee = (model.Shape(8, 1), model.Shape(4, 1))
-    assert shadow.left_over(guarantee, members) == cells
+    placed = [shadow.Member(ids.WorkerId(f"w{worker}"), size) for worker, size in members]
+    assert shadow.left_over(guarantee, placed) == cells
 
 
 def test_device_given_twice_is_over_committed() -> None:
