--- a/bench/driver.py
+++ b/bench/driver.py
@@ -26,6 +26,7 @@
 from __future__ import annotations
 
 import collections
+import functools
 import heapq
 import itertools
 import time
@@ -139,8 +140,9 @@
         entitled=entitled.new_waits(rules),
         shapes=collections.Counter(),
     )
+    could_run = functools.cache(functools.partial(fleet.could_ever_run, tuple(workers)))
     for job in jobs:
-        _plan_job(run, job, tuple(workers))
+        _plan_job(run, job, could_run=could_run(fleet.size_of(trace.spec_of(job))))
     for fault in worker_faults:
         _plan_fault(run, fault, {spec.worker: spec for spec in workers})
     for at_s, event in _events(run, until_s):
@@ -174,9 +176,9 @@
     heapq.heappush(run.timers, (at_s, next(run.sequence), make))
 
 
-def _plan_job(run: Run, job: trace.TraceJob, workers: tuple[model.WorkerSpec, ...]) -> None:
+def _plan_job(run: Run, job: trace.TraceJob, *, could_run: bool) -> None:
     spec = trace.spec_of(job)
-    run.outcome.jobs[job.job] = outcome.JobResult(job, fleet.could_ever_run(workers, spec))
+    run.outcome.jobs[job.job] = outcome.JobResult(job, could_run)
     _at(run, job.at_s, lambda: model.JobSubmitted(job.job, spec))
     if job.cancel_at_s is not None:
         _at(run, max(job.cancel_at_s, job.at_s), lambda: _cancel(run, job.job))
