--- a/bench/trace.py
+++ b/bench/trace.py
@@ -189,9 +189,10 @@
     """Make a trace whose work is a given share of the fleet's capacity.
 
     Half of the jobs arrive evenly at random, half in bursts of one caller that ask for
-    20 to 100 jobs within five minutes. Run times are log-normal with a median of 400 s and
-    a standard deviation of 1.4 in the logarithm, from 20 s to 6 h; declared times are off by
-    a factor that is log-uniform between 1/10 and 10. Urgent jobs have at most 8 accelerators.
+    20 to 100 jobs of one size within five minutes (fewer where these would ask for more than
+    800 accelerators). Run times are log-normal with a median of 400 s and a standard deviation
+    of 1.4 in the logarithm, from 20 s to 6 h; declared times are off by a factor that is
+    log-uniform between 1/10 and 10. Urgent jobs have at most 8 accelerators.
 
     :param seed: the same seed gives the same trace
     :param deployment: whose fleet the load is taken of
