--- a/src/bronzequay/policy/dispatch.py
+++ b/src/bronzequay/policy/dispatch.py
@@ -23,17 +23,17 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-MAX_TRIES = 40
+MAX_TRIES = 12
 """Jobs that a pass searches places for."""
-MAX_EVICTING_TRIES = 6
+MAX_EVICTING_TRIES = 3
 """Jobs that a pass searches gangs to stop for."""
-MAX_SKIPS = 2_000
+MAX_SKIPS = 300
 """Jobs that a pass looks at in all."""
 MAX_CLAIMS = 64
 """Gangs beyond their guarantees for which others are being stopped at once."""
 MAX_AGED_CLAIMS = 2
 """The same for gangs that have waited too long."""
-AGED_S = 4 * 3_600.0
+AGED_S = 2 * 3_600.0
 """Waiting time beyond its rank's delay that makes a job aged, in seconds."""
 MAX_SHORTER_CLAIMS = 4
 """Gangs for which longer work is being stopped at once."""
--- a/src/bronzequay/policy/ordering.py
+++ b/src/bronzequay/policy/ordering.py
@@ -25,7 +25,7 @@
 
 DELAY_PER_WORK = 300.0
 """Seconds of delay for each second that the whole fleet needs for a job's predicted work."""
-MAX_DELAY_S = 24 * 3600.0
+MAX_DELAY_S = 8 * 3600.0
 """Longest delay on account of predicted work, in seconds."""
 CLASS_DELAY_S: Mapping[model.Urgency, float] = {
     model.Urgency.URGENT: -3600.0,
--- a/src/bronzequay/policy/planning.py
+++ b/src/bronzequay/policy/planning.py
@@ -22,12 +22,22 @@
     need = placement.need_of(record)
     fill = placement.fill_free(need)
     if not need.accelerators:
-        plain = _find(state, record, need, fleet.CPU_PLAIN, fill)
+        plain = _find(state, record, need, fleet.CPU_PLAIN, _on_plain(fill))
         return plain or _find(state, record, need, fleet.CPU_ANY, fill)
     metric = fleet.FREE + min(need.accelerators.bit_length(), cells.LEVELS) - 1
     return _find(state, record, need, metric, fill)
 
 
+def _on_plain(fill: search.Fill) -> search.Fill:
+    """Keep to workers without accelerators."""
+
+    def fill_plain(worker: fleet.Worker, room: int, draft: search.Draft) -> None:
+        if not worker.everything:
+            fill(worker, room, draft)
+
+    return fill_plain
+
+
 def evicting(
     state: states.State, record: model.JobRecord, price: placement.Price
 ) -> search.Draft | None:
@@ -45,7 +55,7 @@
     fill = placement.fill_fixed(need, price)
     if need.accelerators:
         return _find(state, record, need, _open_metric(need), fill)
-    plain = _find(state, record, need, fleet.CPU_PLAIN, fill)
+    plain = _find(state, record, need, fleet.CPU_PLAIN, _on_plain(fill))
     return plain or _find(state, record, need, fleet.CPU_ANY, fill)
 
 
--- a/src/bronzequay/policy/search.py
+++ b/src/bronzequay/policy/search.py
@@ -8,6 +8,7 @@
 
 import bisect
 import enum
+import itertools
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -18,10 +19,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
-MAX_TIGHT_RACKS = 6
+MAX_TIGHT_RACKS = 4
 """Racks tried from the tightest fit upwards."""
 MAX_ROOMY_RACKS = 2
 """Racks tried from the emptiest downwards."""
+MAX_RACKS_BEYOND_MEMBERS = 16
+"""Racks of a larger place that are read, beyond two for each member."""
 
 
 class Scope(enum.Enum):
@@ -184,7 +187,7 @@
 def _fill_racks(
     flt: fleet.Fleet, need: Need, place: Iterable[fleet.RackKey], fill: Fill, draft: Draft
 ) -> None:
-    for key in place:
+    for key in itertools.islice(place, MAX_RACKS_BEYOND_MEMBERS + 2 * need.members):
         for worker in _ordered(flt.racks[key], need):
             fill(worker, need.members - len(draft.picks), draft)
             if len(draft.picks) == need.members:
