--- a/src/bronzequay/policy/search.py
+++ b/src/bronzequay/policy/search.py
@@ -19,12 +19,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
-MAX_TIGHT_RACKS = 4
+MAX_TIGHT_RACKS = 3
 """Racks tried from the tightest fit upwards."""
-MAX_ROOMY_RACKS = 2
+MAX_ROOMY_RACKS = 1
 """Racks tried from the emptiest downwards."""
-MAX_RACKS_BEYOND_MEMBERS = 16
-"""Racks of a larger place that are read, beyond two for each member."""
+MAX_RACKS_BEYOND_MEMBERS = 4
+"""Racks of a larger place that are read, beyond one for each member."""
 
 
 class Scope(enum.Enum):
@@ -187,7 +187,7 @@
 def _fill_racks(
     flt: fleet.Fleet, need: Need, place: Iterable[fleet.RackKey], fill: Fill, draft: Draft
 ) -> None:
-    for key in itertools.islice(place, MAX_RACKS_BEYOND_MEMBERS + 2 * need.members):
+    for key in itertools.islice(place, MAX_RACKS_BEYOND_MEMBERS + need.members):
         for worker in _ordered(flt.racks[key], need):
             fill(worker, need.members - len(draft.picks), draft)
             if len(draft.picks) == need.members:
@@ -195,7 +195,12 @@
 
 
 def _ordered(rack: fleet.Rack, need: Need) -> list[fleet.Worker]:
-    open_workers = [worker for worker in rack.workers.values() if worker.has_turn]
+    wanted = need.accelerators
+    open_workers = [
+        worker
+        for worker in rack.workers.values()
+        if worker.spec.accelerators >= wanted and worker.has_turn
+    ]
     is_gang = need.members > 1
 
     def key(worker: fleet.Worker) -> tuple[int, int]:
