--- a/bench/flood.py
+++ b/bench/flood.py
@@ -21,6 +21,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import random
 import typing
 
@@ -165,6 +166,7 @@
     ]
 
 
+@functools.cache
 def _small_waits_s(seed: int) -> tuple[float, float]:
     span_s = 2 * HOUR_S
     base = trace.generate(seed=seed, deployment=DEPLOYMENT, load=BESIDE_LOAD, span_s=span_s)
@@ -194,6 +196,7 @@
     return stats.percentile(waits_s, 0.99)
 
 
+@functools.cache
 def _shares_s(seed: int) -> list[float]:
     rng = random.Random(f"fair-{seed}")
     callers = [f"fair-c{index}" for index in range(FAIR_CALLERS)]
