--- a/src/bronzequay/peer/mesh.py
+++ b/src/bronzequay/peer/mesh.py
@@ -9,7 +9,6 @@
 import trio
 import zmq
 
-import outcome
 from bronzequay import codes, errors
 from bronzequay.peer import connection, envelope, sockets
 
--- a/tests/peer/test_members.py
+++ b/tests/peer/test_members.py
@@ -5,11 +5,11 @@
 
 import trio
 import trio.testing
-from tests.peer import network
 
 from bronzequay import ids
 from bronzequay.peer import members
 from bronzequay.store import entries
+from tests.peer import network
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/policy/test_core.py
+++ b/tests/policy/test_core.py
@@ -5,10 +5,10 @@
 
 import msgspec
 import pytest
-from tests.policy import world
 
 from bronzequay import codes, ids
 from bronzequay.policy import core, dispatch, health, model, ordering, preemption
+from tests.policy import world
 
 if TYPE_CHECKING:
     from types import FrameType
--- a/tests/sched/harness.py
+++ b/tests/sched/harness.py
@@ -9,9 +9,9 @@
 from typing import TYPE_CHECKING, Any
 
 import httpx
+import outcome
 import trio
 
-import outcome
 from bronzequay import codes, errors, ids
 from bronzequay.fakes import worker as fake_worker
 from bronzequay.policy import model
