One instance out of all parts: membership, shares, bundle spread, claims, budgets

Entry instances learn each other's mesh addresses from the health answer, keep the leases of their share of the workers, spread the bundle among themselves and claim non-idempotent requests in the store.

--- a/src/bronzequay/api/admin.py
+++ b/src/bronzequay/api/admin.py
@@ -5,8 +5,10 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
+import msgspec
 import quart
 
+from bronzequay import ids
 from bronzequay.api import answers, auth, bodies
 from bronzequay.cfg import rollout
 
@@ -14,6 +16,17 @@
     from bronzequay.api import services
 
 
+class Health(msgspec.Struct, frozen=True):
+    """Answer to the balancer and to other instances.
+
+    :param mesh: where the other instances reach this one
+    """
+
+    is_healthy: bool
+    instance: ids.InstanceId
+    mesh: str
+
+
 def make_blueprint(deps: services.Services) -> quart.Blueprint:
     """Return the routes for operators.
 
@@ -24,7 +37,8 @@
     @routes.get("/healthz")
     async def health() -> quart.Response:
         status = HTTPStatus.SERVICE_UNAVAILABLE if deps.is_draining() else HTTPStatus.OK
-        return answers.json_answer({"healthy": not deps.is_draining()}, status=status)
+        body = Health(not deps.is_draining(), deps.instance, deps.mesh_address)
+        return answers.json_answer(body, status=status)
 
     @routes.get("/v1/state")
     async def state() -> quart.Response:
@@ -82,4 +96,4 @@
     return routes
 
 
-__all__ = ["make_blueprint"]
+__all__ = ["Health", "make_blueprint"]
--- a/src/bronzequay/api/services.py
+++ b/src/bronzequay/api/services.py
@@ -24,12 +24,14 @@
 class Services:
     """Parts of one entry instance that the routes need.
 
+    :param mesh_address: where the other instances reach this one
     :param routers: one for each known service
     :param dump: the state of this process
     :param wall_clock: seconds since the Unix epoch
     """
 
     instance: ids.InstanceId
+    mesh_address: str
     gateway: gateway.Gateway
     routers: Mapping[ids.ServiceId, router.Router]
     holder: holder.Holder
--- a/src/bronzequay/cfg/entry.py
+++ b/src/bronzequay/cfg/entry.py
@@ -94,10 +94,24 @@
         parse=settings.number(0, MAX_SECONDS),
     ),
     settings.Setting(
-        name="store_calls_per_s",
-        default="100",
+        name="peers",
+        default="",
+        unit="",
+        description="mesh addresses (tcp://IP:PORT) known at start, comma-separated",
+        parse=settings.any_text,
+    ),
+    settings.Setting(
+        name="store_reads_per_s",
+        default="250",
+        unit="calls/s",
+        description="this instance's budget of reads from the platform's service",
+        parse=settings.number(1, 10_000),
+    ),
+    settings.Setting(
+        name="store_writes_per_s",
+        default="40",
         unit="calls/s",
-        description="this instance's budget of calls to the platform's service",
+        description="this instance's budget of writes to the platform's service",
         parse=settings.number(1, 10_000),
     ),
     settings.Setting(
@@ -140,7 +154,9 @@
     task_lease_s: float
     discovery_s: float
     drain_timeout_s: float
-    store_calls_per_s: float
+    peers: str
+    store_reads_per_s: float
+    store_writes_per_s: float
     statsd_address: str
     log_level: str
     operator_tokens: str
--- a/src/bronzequay/discovery.py
+++ b/src/bronzequay/discovery.py
@@ -12,7 +12,7 @@
 from bronzequay.work import executor as executor_client
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Awaitable, Callable, Sequence
 
     from bronzequay.store import client
 
@@ -27,7 +27,8 @@
     :param store: client of the platform's service
     :param executors: adapter to the executors
     :param interval_s: seconds between looks
-    :param on_executors: called with the executors of every service after a change
+    :param on_executors: called with the executors of every service at each look
+    :param on_entries: called with the listed entry instances at each look
     """
 
     def __init__(
@@ -37,18 +38,14 @@
         executors: executor_client.ExecutorClient,
         interval_s: float,
         on_executors: Callable[[ExecutorList], None],
+        on_entries: Callable[[Sequence[client.InstanceEntry]], Awaitable[None]],
     ) -> None:
         self._store = store
         self._executors = executors
         self._interval_s = interval_s
         self._on_executors = on_executors
+        self._on_entries = on_entries
         self._services: dict[str, ids.ServiceId] = {}
-        self._listed: tuple[client.InstanceEntry, ...] = ()
-
-    @property
-    def entries(self) -> tuple[client.InstanceEntry, ...]:
-        """Return the entry instances that the list showed last."""
-        return tuple(item for item in self._listed if item.kind == "entry")
 
     async def run(self) -> None:
         """Look at the list until cancelled; keeps the last one through an outage."""
@@ -58,7 +55,7 @@
             except errors.BronzequayError as exc:
                 _log.warning("list_unavailable", code=exc.code.value)
             else:
-                self._listed = listed
+                await self._on_entries([item for item in listed if item.kind == "entry"])
                 await self._learn_executors([item for item in listed if item.kind == "executor"])
             await trio.sleep(self._interval_s)
 
--- a/src/bronzequay/instance.py
+++ b/src/bronzequay/instance.py
@@ -12,23 +12,26 @@
 import structlog
 import trio
 
+from bronzequay import ids
 from bronzequay.api import app as api_app
 from bronzequay.api import auth, services
 from bronzequay.cfg import follow, holder, rollout
 from bronzequay.discovery import Discovery, ExecutorList
+from bronzequay.neighbours import Neighbours
 from bronzequay.obs import dump, metrics
-from bronzequay.peer import mesh
+from bronzequay.peer import members, mesh, shares, spread
 from bronzequay.route import claims, router
-from bronzequay.sched import gateway, scheduler
-from bronzequay.store import client, watch
+from bronzequay.sched import gateway, keepers, scheduler
+from bronzequay.store import budget, client, watch
 from bronzequay.work import client as worker_client
 from bronzequay.work import executor as executor_client
+from bronzequay.work import fleet
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
-    from bronzequay import ids
     from bronzequay.cfg import entry
+    from bronzequay.store import entries
 
 KEEP_ALIVE_S = 300.0
 BACKLOG = 1024
@@ -57,17 +60,53 @@
         self._is_draining = False
         self._stop_serving = trio.Event()
         self._exits = contextlib.AsyncExitStack()
-        self._http = httpx.AsyncClient(
-            limits=httpx.Limits(max_connections=None, max_keepalive_connections=MAX_CONNECTIONS),
-            timeout=HTTP_TIMEOUT_S,
-        )
+        self._http = _http_client()
+        self._store_http = _http_client()
         self.metrics = metrics.Metrics(address=cfg.statsd_address)
-        self.store = client.Store(base_url=cfg.platform_url, instance=cfg.instance, http=self._http)
-        self.mesh = mesh.Mesh(instance=cfg.instance, address=f"tcp://{cfg.host}:{cfg.mesh_port}")
         self.holder = holder.Holder(wall_clock=wall_clock)
         self.registry = auth.Registry(first=auth.parse_first(cfg.operator_tokens))
-        self.holder.on_change(self._on_bundle)
+        self.store = client.Store(
+            base_url=cfg.platform_url,
+            instance=cfg.instance,
+            http=self._store_http,
+            budget=budget.Budget(
+                reads_per_s=cfg.store_reads_per_s, writes_per_s=cfg.store_writes_per_s
+            ),
+        )
         self._watch = watch.Watch(self.store, prefix=rollout.HEAD_KEY)
+        self._build_peers()
+        self._build_requests()
+        self._build_jobs()
+        self.holder.on_change(self._on_bundle)
+        self._deps = services.Services(
+            instance=cfg.instance,
+            mesh_address=self.mesh.address,
+            gateway=self.gateway,
+            routers=self.routers,
+            holder=self.holder,
+            registry=self.registry,
+            store=self.store,
+            dump=dump.make_dump(resolved=resolved, sections=self._sections()),
+            is_draining=lambda: self._is_draining,
+            wall_clock=wall_clock,
+        )
+
+    def _build_peers(self) -> None:
+        cfg = self._cfg
+        self.mesh = mesh.Mesh(instance=cfg.instance, address=f"tcp://{cfg.host}:{cfg.mesh_port}")
+        self.members = members.Members(
+            self.mesh,
+            instance=cfg.instance,
+            data_centre=cfg.data_centre,
+            seeds=tuple(filter(None, cfg.peers.split(","))),
+            version=lambda: self.holder.version,
+        )
+        self.spread = spread.Spread(self.mesh, on_newer=self._on_spread)
+        self.spread.follow(self.members)
+        self._shares = shares.Shares()
+        self._neighbours = Neighbours(http=self._http)
+
+    def _build_requests(self) -> None:
         self._executors = executor_client.ExecutorClient(
             http=self._http, connect=executor_client.connector()
         )
@@ -75,48 +114,61 @@
         self.discovery = Discovery(
             store=self.store,
             executors=self._executors,
-            interval_s=cfg.discovery_s,
+            interval_s=self._cfg.discovery_s,
             on_executors=self._on_executors,
+            on_entries=self._on_entries,
         )
+
+    def _build_jobs(self) -> None:
+        cfg = self._cfg
+        workers = worker_client.WorkerClient(http=self._http)
+        self.fleet = fleet.Fleet(instances=self.store.instances, workers=workers)
         self.scheduler = scheduler.Scheduler(
             partition=cfg.region,
             instance=cfg.instance,
             address=self.mesh.address,
             store=self.store,
-            workers=worker_client.WorkerClient(http=self._http),
+            workers=workers,
             rules=self.holder.rules,
-            wall_clock=wall_clock,
+            wall_clock=self._wall_clock,
+            fleet=self.fleet,
+            withhold=self._withhold,
             payload=lambda spec: msgspec.json.encode(spec.payload),
         )
-        self._deps = services.Services(
-            instance=cfg.instance,
-            gateway=gateway.Gateway(
-                partition=cfg.region,
-                scheduler=self.scheduler,
-                store=self.store,
-                mesh=self.mesh,
-            ),
-            routers=self.routers,
-            holder=self.holder,
-            registry=self.registry,
+        self.keepers = keepers.Keepers(
+            partition=cfg.region,
+            scheduler=self.scheduler,
             store=self.store,
-            dump=dump.make_dump(resolved=resolved, sections=self._sections()),
-            is_draining=lambda: self._is_draining,
-            wall_clock=wall_clock,
+            mesh=self.mesh,
+            fleet=self.fleet,
+            workers=workers,
+            share=self._owns,
+            peers=self._other_keepers,
+        )
+        self.gateway = gateway.Gateway(
+            partition=cfg.region, scheduler=self.scheduler, store=self.store, mesh=self.mesh
         )
 
     async def __aenter__(self) -> Self:
         """Start every part."""
         await self._exits.enter_async_context(self._http)
+        await self._exits.enter_async_context(self._store_http)
         self._nursery = await self._exits.enter_async_context(trio.open_nursery())
         start = self._nursery.start_soon
-        start(self.mesh.run)
-        start(self._watch.run)
+        for run in (
+            self.mesh.run,
+            self.members.run,
+            self.spread.run,
+            self._watch.run,
+            self.discovery.run,
+            self.fleet.run,
+            self.keepers.run,
+            self.scheduler.run,
+        ):
+            start(run)
         changes = self._watch.subscribe(rollout.HEAD_KEY)
         start(follow.follow_watch, self.store, self.holder, changes)
         start(follow.follow_poll, self.store, self.holder)
-        start(self.discovery.run)
-        start(self.scheduler.run)
         binds = await self._nursery.start(self._serve)
         _log.info("serving", bind=binds[0], mesh=self.mesh.address)
         return self
@@ -130,6 +182,7 @@
     async def shutdown(self) -> None:
         """Leave the balancer, finish every request in progress, hand over, stop serving."""
         self._is_draining = True
+        self.members.set_leaving()
         with trio.move_on_after(self._cfg.drain_timeout_s):
             await trio.sleep(BALANCER_NOTICE_S)
             async with trio.open_nursery() as nursery:
@@ -156,11 +209,35 @@
             task_status=task_status,
         )
 
+    def _owns(self, worker: ids.WorkerId) -> bool:
+        """Return whether this instance keeps the leases of a worker."""
+        self._shares.set_members(self.members.live())
+        return self._shares.owner(worker) == self._cfg.instance
+
+    async def _withhold(self, names: Sequence[ids.TaskId]) -> bool:
+        """Have every keeper stop renewing tasks; the keepers are built after the scheduler."""
+        return await self.keepers.withhold(names)
+
+    def _other_keepers(self) -> Sequence[str]:
+        """Return the mesh address of every instance that may still renew leases."""
+        gone = members.State.GONE.value
+        return [address for address, state in self.members.dump().items() if state != gone]
+
     def _on_bundle(self, adopted: holder.InForce) -> None:
         self.registry.replace(adopted.bundle.principal)
+        self.spread.offer(adopted.version, adopted.text)
+        self.members.nudge()
         self.metrics.gauge("bundle.version", adopted.version)
         _log.info("bundle_adopted", version=adopted.version)
 
+    def _on_spread(self, found: spread.Versioned) -> None:
+        self.holder.adopt(ids.BundleVersion(found.version), found.body)
+
+    async def _on_entries(self, listed: Sequence[entries.InstanceEntry]) -> None:
+        others = [item for item in listed if item.id != self._cfg.instance]
+        await self._neighbours.learn(others)
+        self.members.on_list(others, self._neighbours.address_of)
+
     def _on_executors(self, found: ExecutorList) -> None:
         for service, executors in found.items():
             if service not in self.routers:
@@ -168,16 +245,17 @@
             self.routers[service].set_executors(executors)
 
     def _add_router(self, service: ids.ServiceId) -> None:
+        book = claims.Claims(
+            store=self.store,
+            service=service,
+            instance=self._cfg.instance,
+            wall_clock=self._wall_clock,
+        )
         added = router.Router(
             service=service,
             client=self._executors,
-            claims=claims.Claims(
-                store=self.store,
-                service=service,
-                instance=self._cfg.instance,
-                wall_clock=self._wall_clock,
-            ),
-            instances=lambda: max(1, len(self.discovery.entries)),
+            claims=book,
+            instances=lambda: max(1, len(self.members.live())),
         )
         self.routers[service] = added
         self._nursery.start_soon(added.run)
@@ -190,11 +268,23 @@
                 "draining": self._is_draining,
             },
             "bundle": lambda: {"version": self.holder.version},
-            "scheduler": lambda: {"active": self.scheduler.is_active},
+            "peers": self.members.dump,
+            "mesh": lambda: dict(self.mesh.counts),
+            "scheduler": lambda: {
+                "active": self.scheduler.is_active,
+                "epoch": self.scheduler.epoch,
+                "workers": len(self.fleet.members),
+                "kept_workers": sum(self._owns(name) for name in self.fleet.members),
+            },
             "routers": lambda: {name: item.dump() for name, item in self.routers.items()},
             "counters": lambda: dict(self.metrics.counters),
             "gauges": lambda: dict(self.metrics.gauges),
         }
 
 
+def _http_client() -> httpx.AsyncClient:
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=MAX_CONNECTIONS)
+    return httpx.AsyncClient(limits=limits, timeout=HTTP_TIMEOUT_S)
+
+
 __all__ = ["Instance"]
--- a/tests/api/conftest.py
+++ b/tests/api/conftest.py
@@ -105,6 +105,7 @@
     made.set_executors([route_model.Executor(name, "http://executors/e/x0", centre)])
     return services.Services(
         instance=ids.InstanceId("e1"),
+        mesh_address="tcp://127.0.0.1:1",
         gateway=gateway,  # type: ignore[arg-type]
         routers={SERVICE: made},
         holder=target,
