--- a/src/bronzequay/policy/dispatch.py
+++ b/src/bronzequay/policy/dispatch.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-MAX_TRIES = 12
+MAX_TRIES = 20
 """Jobs that a pass searches places for."""
 MAX_EVICTING_TRIES = 3
 """Jobs that a pass searches gangs to stop for."""
@@ -48,7 +48,7 @@
 
     :param tried: jobs that an earlier pass found no place for
     :param tries: searches for free places left
-    :param evicting_tries: searches for gangs to stop left
+    :param evicting_tries: searches for gangs to stop left, those for guarantees not counted
     """
 
     now_s: float
@@ -148,8 +148,7 @@
         seats = planning.seats_of(draft)
         yield _start(state, record, places, share, seats, now_s=one.now_s)
         return
-    if one.evicting_tries:
-        yield from _by_evicting(state, record, one)
+    yield from _by_evicting(state, record, one)
 
 
 def _on_free_room(
@@ -226,12 +225,13 @@
         for share, plan in _ways(state, record, right.price):
             if right.is_guarantee != (share is model.Share.GUARANTEED):
                 continue
-            if not one.evicting_tries:
-                return
             key = _evicting_key(state, record, share, right)
             if state.blocked.get(key) == state.fleet.freed:
                 continue
-            one.evicting_tries -= 1
+            if not right.is_guarantee:
+                if not one.evicting_tries:
+                    return
+                one.evicting_tries -= 1
             draft = plan()
             is_worth = draft is not None and draft.cost <= right.max_cost
             if draft is None or not is_worth or not _enter(state, record, share, draft):
--- a/src/bronzequay/policy/search.py
+++ b/src/bronzequay/policy/search.py
@@ -19,11 +19,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
-MAX_TIGHT_RACKS = 3
+MAX_TIGHT_RACKS = 6
 """Racks tried from the tightest fit upwards."""
-MAX_ROOMY_RACKS = 1
+MAX_ROOMY_RACKS = 2
 """Racks tried from the emptiest downwards."""
-MAX_RACKS_BEYOND_MEMBERS = 4
+MAX_RACKS_BEYOND_MEMBERS = 8
 """Racks of a larger place that are read, beyond one for each member."""
 
 
