--- a/src/bronzequay/sched/scheduler.py
+++ b/src/bronzequay/sched/scheduler.py
@@ -183,7 +183,7 @@
         record = _found(await _find(term, job), job)
         if job not in term.state.jobs:
             return f"the job is {record.state.value}"
-        return str(core.why(term.state, job))
+        return core.why(term.state, job).text
 
     def on_listing(
         self, worker: ids.WorkerId, listing: tuple[client.Status, ...]
@@ -345,7 +345,9 @@
 
 def _tell(term: terms.Term, member: fleets.Member) -> None:
     worker = member.spec.worker
-    if not member.is_leaving:
+    if member.is_gone:
+        term.emit(model.WorkerGone(worker))
+    elif not member.is_leaving:
         term.emit(model.WorkerJoined(member.spec))
     else:
         term.emit(model.WorkerLeaving(worker))
