--- a/src/bronzequay/sched/attempt.py
+++ b/src/bronzequay/sched/attempt.py
@@ -99,6 +99,19 @@
                 return model.MemberFailed(self.job, self.number, self.worker_of(task), fault)
         return None
 
+    def lost(self) -> model.MemberFailed | None:
+        """Return a member whose work a checkpoint was to keep and did not, None when all are kept.
+
+        Without it the core would take the progress as kept and start the job again.
+        """
+        if self.stop_mode is not model.StopMode.CHECKPOINT or not self.was_released:
+            return None
+        for task, status in self.statuses.items():
+            if status.state is not client.TaskState.CHECKPOINTED:
+                fault = _FAULTS.get(status.state, model.MemberFault.WORKER_LOST)
+                return model.MemberFailed(self.job, self.number, self.worker_of(task), fault)
+        return None
+
     def kept_s(self) -> float:
         """Return the run time that checkpoints of every member have kept, in seconds."""
         ended = self.statuses.values()
--- a/src/bronzequay/sched/gang.py
+++ b/src/bronzequay/sched/gang.py
@@ -164,6 +164,9 @@
     if gang.is_whole():
         shell.emit(model.GangFinished(gang.job, gang.number))
     else:
+        lost = gang.lost()
+        if lost is not None:
+            shell.emit(lost)
         shell.emit(model.GangStopped(gang.job, gang.number, gang.kept_s()))
 
 
--- a/src/bronzequay/sched/journal.py
+++ b/src/bronzequay/sched/journal.py
@@ -89,6 +89,28 @@
     return _buckets.decode(entry.value), entry.rev
 
 
+async def read_buckets(
+    store: ports.Store, partition: ids.RegionId
+) -> list[tuple[Bucket, ids.Revision]]:
+    """Read every bucket, all at once.
+
+    :param store: the platform's service
+    :param partition: the partition
+    :return: the buckets in order, each with its revision
+    """
+    found: dict[int, tuple[Bucket, ids.Revision]] = {}
+
+    async def read(number: int) -> None:
+        found[number] = await read_bucket(store, partition, number)
+
+    results = _Results()
+    async with trio.open_nursery() as nursery:
+        for number in range(BUCKETS):
+            nursery.start_soon(results.collect, read, number)
+    results.check()
+    return [found[number] for number in range(BUCKETS)]
+
+
 class Reader:
     """Reads durable records from the store, for instances without a scheduler's term.
 
@@ -119,8 +141,7 @@
         :return: the records
         """
         found: list[model.JobRecord] = []
-        for number in range(BUCKETS):
-            bucket, _ = await read_bucket(self._store, self._partition, number)
+        for number, (bucket, _) in enumerate(await read_buckets(self._store, self._partition)):
             live = map(decode_record, bucket.jobs.values())
             found += filter(is_wanted, live)
             found += await self._archive.scan(
@@ -152,9 +173,7 @@
         :return: every record that is not archived
         :raises errors.BronzequayError: FENCED when another takeover came between
         """
-        found = [
-            await read_bucket(self._store, self._partition, number) for number in range(BUCKETS)
-        ]
+        found = await read_buckets(self._store, self._partition)
         self.epoch = ids.Epoch(max(bucket.epoch for bucket, _ in found) + 1)
         self._slots = [
             Slot(number, bucket_key(self._partition, number), bucket, rev)
--- a/src/bronzequay/sched/lease.py
+++ b/src/bronzequay/sched/lease.py
@@ -76,7 +76,7 @@
     while True:
         try:
             held = await _try(store, partition, holder)
-        except errors.BronzequayError:
+        except* errors.BronzequayError:
             held = None
         if held is not None:
             return held
@@ -87,16 +87,31 @@
     if await store.get(key(partition), purpose=ports.Purpose.LEASE) is not None:
         return None
     sent_s = trio.current_time()
-    lease = await store.grant(TTL_S)
+    held = Held(await store.grant(TTL_S), ABSENT, sent_s + TTL_S)
     value = msgspec.json.encode(holder)
     try:
-        rev = await store.put(
-            key(partition), value, rev=ABSENT, purpose=ports.Purpose.LEASE, lease=lease
-        )
-    except errors.BronzequayError:
-        await release(store, lease)
-        raise
-    return Held(lease, rev, sent_s + TTL_S)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keep, store, held)
+            held.rev = await store.put(
+                key(partition), value, rev=ABSENT, purpose=ports.Purpose.LEASE, lease=held.lease
+            )
+            nursery.cancel_scope.cancel()
+    except* errors.BronzequayError as group:
+        await release(store, held.lease)
+        raise first_error(group) from None
+    return held
+
+
+def first_error(group: BaseExceptionGroup[errors.BronzequayError]) -> errors.BronzequayError:
+    """Return the first error of a nursery.
+
+    :param group: what the nursery raised
+    """
+    found: BaseException = group
+    while isinstance(found, BaseExceptionGroup):
+        found = found.exceptions[0]
+    assert isinstance(found, errors.BronzequayError)  # noqa: S101  # the type of the group
+    return found
 
 
 async def publish(store: ports.Store, partition: ids.RegionId, held: Held, holder: Holder) -> None:
@@ -140,16 +155,24 @@
     :param held: the lease, whose validity is updated
     :raises errors.BronzequayError: LEASE_LOST
     """
-    while True:
-        await trio.sleep(RENEW_S)
-        sent_s = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        while True:
+            nursery.start_soon(_renew, store, held)
+            await trio.sleep(RENEW_S)
+
+
+async def _renew(store: ports.Store, held: Held) -> None:
+    """Renew once; renewals overlap, so that a slow store does not end the lease."""
+    sent_s = trio.current_time()
+    with trio.move_on_after(TTL_S) as scope:
         try:
             await store.renew(held.lease)
         except errors.BronzequayError as exc:
             if not ports.is_unanswered(exc):
                 raise errors.BronzequayError(codes.ResultCode.LEASE_LOST, exc.message) from exc
-            continue
-        held.valid_until_s = sent_s + TTL_S
+            return
+    if not scope.cancelled_caught:
+        held.valid_until_s = max(held.valid_until_s, sent_s + TTL_S)
 
 
 async def release(store: ports.Store, lease: ids.LeaseId) -> None:
@@ -165,4 +188,14 @@
             return
 
 
-__all__ = ["Held", "Holder", "campaign", "keep", "key", "publish", "read_holder", "release"]
+__all__ = [
+    "Held",
+    "Holder",
+    "campaign",
+    "first_error",
+    "keep",
+    "key",
+    "publish",
+    "read_holder",
+    "release",
+]
--- a/src/bronzequay/sched/scheduler.py
+++ b/src/bronzequay/sched/scheduler.py
@@ -247,7 +247,7 @@
             try:
                 await self._serve(held)
             except* errors.BronzequayError as group:
-                reason = _first(group)
+                reason = lease.first_error(group)
                 _log.warning("term_ended", partition=self._partition, reason=str(reason))
             finally:
                 self._end_term()
@@ -367,11 +367,4 @@
     )
 
 
-def _first(group: BaseExceptionGroup[errors.BronzequayError]) -> BaseException:
-    found: BaseException = group
-    while isinstance(found, BaseExceptionGroup):
-        found = found.exceptions[0]
-    return found
-
-
 __all__ = ["Scheduler", "default_payload", "matching", "newest"]
--- a/src/bronzequay/sched/terms.py
+++ b/src/bronzequay/sched/terms.py
@@ -154,8 +154,9 @@
             if record.state not in model.PLACED_STATES:
                 following.forget(record.job)
         for command in commands:
-            spec = self.state.jobs[command.job].spec
-            following.carry_out(command, is_idempotent=spec.idempotent)
+            record = self.state.jobs[command.job]
+            if record.attempt == command.attempt and record.state in model.PLACED_STATES:
+                following.carry_out(command, is_idempotent=record.spec.idempotent)
         if any(isinstance(event, model.Tick) for event in events):
             for job in await self.durable.compact():
                 core.forget(self.state, job)
--- a/tests/sched/test_terms.py
+++ b/tests/sched/test_terms.py
@@ -65,6 +65,22 @@
     assert one.scheduler.epoch == 1
 
 
+async def test_a_slow_store_slows_the_scheduler_but_ends_no_term(
+    autojump_clock: testing.MockClock, nursery: trio.Nursery
+) -> None:
+    fleet = harness.Fleet()
+    one, two = harness.Instance(fleet, "i1"), harness.Instance(fleet, "i2")
+    for instance in (one, two):
+        instance.gate.delay_s = 1.2
+        nursery.start_soon(instance.run)
+    await harness.until(lambda: one.scheduler.is_active or two.scheduler.is_active)
+    active = one if one.scheduler.is_active else two
+    record = await active.scheduler.submit(harness.spec(declared_s=60.0), key=None)
+    ended = await harness.until_state(active.scheduler, record.job, [model.JobState.FINISHED])
+    assert ended.history[0].at_s < 30.0
+    assert active.scheduler.epoch == 1
+
+
 async def test_a_scheduler_whose_lease_may_be_lost_takes_no_command(
     autojump_clock: testing.MockClock, nursery: trio.Nursery
 ) -> None:
