--- a/bench/sched.py
+++ b/bench/sched.py
@@ -1,4 +1,4 @@
-# ruff: noqa: A005  # named after the package that it measures
+# named after the package that it measures
 """Measures the scheduler's shell in one process, against in-memory fakes.
 
 ``python -m bench.sched --seed N --json`` prints processor times (not waits): from submission to
@@ -18,13 +18,13 @@
 import msgspec
 import structlog
 import trio
-from tests.sched import harness
 from trio import testing
 
 from bronzequay import codes, ids
 from bronzequay.policy import model
 from bronzequay.sched import journal
 from bronzequay.work import client, tasks
+from tests.sched import harness
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/bronzequay/sched/gang.py
+++ b/src/bronzequay/sched/gang.py
@@ -164,10 +164,8 @@
     if gang.is_whole():
         shell.emit(model.GangFinished(gang.job, gang.number))
     else:
-        lost = gang.lost()
-        if lost is not None:
-            shell.emit(lost)
-        shell.emit(model.GangStopped(gang.job, gang.number, gang.kept_s()))
+        stopped = model.GangStopped(gang.job, gang.number, gang.kept_s(), gang.is_checkpointed())
+        shell.emit(stopped)
 
 
 async def _learn(shell: Shell, gang: attempts.Attempt, worker: ids.WorkerId) -> None:
--- a/tests/sched/test_gang.py
+++ b/tests/sched/test_gang.py
@@ -4,11 +4,11 @@
 
 import pytest
 import trio
-from tests.sched import checks, harness
 
 from bronzequay.policy import health, model
 from bronzequay.sched import gang
 from bronzequay.work import keeper
+from tests.sched import checks, harness
 
 if TYPE_CHECKING:
     from trio import testing
--- a/tests/sched/test_terms.py
+++ b/tests/sched/test_terms.py
@@ -4,12 +4,12 @@
 
 import pytest
 import trio
-from tests.sched import checks, harness
 
 from bronzequay import codes, errors
 from bronzequay.policy import model
 from bronzequay.sched import lease
 from bronzequay.work import keeper
+from tests.sched import checks, harness
 
 if TYPE_CHECKING:
     from trio import testing
--- a/tests/work/test_keeper.py
+++ b/tests/work/test_keeper.py
@@ -5,11 +5,11 @@
 import httpx
 import pytest
 import trio
-from tests.sched import harness
 
 from bronzequay import ids
 from bronzequay.fakes import worker as fake_worker
 from bronzequay.work import client, fleet, keeper
+from tests.sched import harness
 
 if TYPE_CHECKING:
     from collections.abc import Collection
