--- a/tests/sched/checks.py
+++ b/tests/sched/checks.py
@@ -7,18 +7,19 @@
 
 import msgspec
 
+from bronzequay import ids
 from bronzequay.sched import journal
 from bronzequay.work import tasks
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from bronzequay import ids
     from bronzequay.policy import model
     from tests.sched import harness
 
 Log = list[dict[str, Any]]
 CLOCK_S = 0.01
+SKEW_S = 0.01
 
 
 def check_epochs(fleet: harness.Fleet) -> None:
@@ -31,6 +32,23 @@
             seen[key] = epoch
 
 
+Attempts = dict[tuple[ids.JobId, int], dict[int, dict[str, Any]]]
+
+
+def _released(log: Log) -> Attempts:
+    """Return the last entry of each member of each attempt that was released."""
+    last: Attempts = {}
+    released: set[tuple[ids.JobId, int]] = set()
+    for entry in log:
+        key = tasks.parse(entry["task"])
+        if key is None:
+            continue
+        last.setdefault(key[:2], {})[key.member] = entry
+        if entry["event"] == "release":
+            released.add(key[:2])
+    return {name: members for name, members in last.items() if name in released}
+
+
 def check_single_release(log: Log, specs: Mapping[ids.JobId, model.JobSpec]) -> None:
     """A non-idempotent job is released again only to resume what a checkpoint has kept."""
     released: dict[ids.JobId, set[int]] = collections.defaultdict(set)
@@ -57,6 +75,17 @@
     return [item for item in log if item["event"] == event and item["task"].startswith(prefix)]
 
 
+def check_no_repeat(log: Log, specs: Mapping[ids.JobId, model.JobSpec]) -> None:
+    """No member of a non-idempotent job runs longer over all attempts than the job is long."""
+    ran_s: dict[tuple[ids.JobId, int], float] = collections.defaultdict(float)
+    for (job, _number), members in _released(log).items():
+        for member, entry in members.items():
+            ran_s[job, member] += entry["ran_s"]
+    for (job, member), total_s in ran_s.items():
+        if not specs[job].idempotent:
+            assert total_s <= specs[job].declared_s + SKEW_S, (job, member, total_s)
+
+
 def work_spans(log: Log) -> dict[tuple[ids.JobId, int], tuple[float, float]]:
     """Return from when to when any member of each attempt was running."""
     spans: dict[tuple[ids.JobId, int], tuple[float, float]] = {}
