--- a/tests/route/test_claim_bucket.py
+++ b/tests/route/test_claim_bucket.py
@@ -4,10 +4,10 @@
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
-from tests.route import fleet as fleets
 
 from bronzequay import codes, errors, ids
 from bronzequay.route import claim_bucket, model
+from tests.route import fleet as fleets
 
 State = claim_bucket.ClaimState
 
--- a/tests/route/test_claims.py
+++ b/tests/route/test_claims.py
@@ -5,10 +5,10 @@
 
 import pytest
 import trio
-from tests.route import fleet as fleets
 
 from bronzequay import codes, errors
 from bronzequay.route import claim_bucket, claim_writer, claims
+from tests.route import fleet as fleets
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/route/test_truth.py
+++ b/tests/route/test_truth.py
@@ -15,13 +15,13 @@
 import trio.testing
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from tests.route import fleet as fleets
 
 from bronzequay import codes, errors, ids
 from bronzequay.fakes import executor as fake
 from bronzequay.fakes import serve
 from bronzequay.route import model, router
 from bronzequay.work import executor as adapter
+from tests.route import fleet as fleets
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
