--- a/src/bronzequay/sched/terms.py
+++ b/src/bronzequay/sched/terms.py
@@ -182,8 +182,6 @@
             return ()
         if isinstance(event, model.JobCancelled) and event.job not in self.state.jobs:
             return ()
-        if isinstance(event, model.WorkerLeaving) and event.worker not in self.state.workers:
-            return ()
         return core.step(self.state, event, now_s=self._wall_clock())
 
     async def _tick(self) -> None:
@@ -240,7 +238,12 @@
             withhold=withhold,
             payload=payload,
         )
-        return watch.Watch(shell=shell, nursery=nursery, is_current=is_current)
+        return watch.Watch(
+            shell=shell,
+            nursery=nursery,
+            is_current=is_current,
+            declared=lambda job: term.state.jobs[job].spec,
+        )
 
     return build
 
--- a/tests/sched/test_gang.py
+++ b/tests/sched/test_gang.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from bronzequay.policy import model
+from bronzequay.policy import health, model
 from bronzequay.sched import gang
 from bronzequay.work import keeper
 from tests.sched import checks, harness
@@ -37,10 +37,10 @@
     one = await start(fleet, nursery)
     spec = harness.spec(members=3, accelerators=8, idempotent=False)
     record = await one.scheduler.submit(spec, key=None)
-    await harness.until_state(one.scheduler, record.job, [model.JobState.FAILED])
+    ended = await harness.until_state(one.scheduler, record.job, [model.JobState.FAILED])
+    assert ended.attempt <= health.MAX_START_FAILURES
     log = await fleet.log()
     assert harness.events(log, "release") == []
-    ended = await one.scheduler.get(record.job)
     assert len(harness.events(log, "stop")) == 2 * ended.attempt
 
 
