Store client: an HTTP 500 or an unreadable answer to a write is an unknown outcome

Cause: both ended in INTERNAL, which callers take for not written, although the write may have taken effect. They now count as no answer: the key is read back and the write is tried again with its id. Both cases failed before.

--- a/src/bronzequay/store/wire.py
+++ b/src/bronzequay/store/wire.py
@@ -76,6 +76,8 @@
 
 def refusal(status: int, subject: str) -> errors.BronzequayError:
     """Return the error that an HTTP status stands for."""
+    if status not in _REFUSALS and status >= httpx.codes.INTERNAL_SERVER_ERROR:
+        return unknown(subject)
     code, text = _REFUSALS.get(status, (codes.ResultCode.INTERNAL, f"answered HTTP {status}"))
     return errors.BronzequayError(code, f"{text}: {subject}")
 
@@ -138,7 +140,10 @@
         if lease is not None:
             params["lease"] = lease
         resp = await self._attempt("PUT", _path(key), call, params=params, content=data)
-        return self._see(_decode(resp, _Rev).rev)
+        try:
+            return self._see(_decode(resp, _Rev).rev)
+        except errors.BronzequayError as exc:
+            raise unknown(key) from exc
 
     async def delete(self, key: str, *, rev: ids.Revision, call: Call) -> None:
         """Delete a key if its revision is ``rev``; an absent one stays so."""
--- a/tests/store/test_client_faults.py
+++ b/tests/store/test_client_faults.py
@@ -4,11 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+import httpx
 import pytest
 import trio
 import trio.testing
 
-from bronzequay import codes, errors
+from bronzequay import codes, errors, ids
 from bronzequay.fakes import platform
 from bronzequay.store import client
 
@@ -236,3 +237,19 @@
 ) -> None:
     rev = stand.state.put("a", b"raw", rev=0, lease=None)
     assert await store.get("a", purpose=READ) == client.Entry("a", b"raw", rev)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize("answer", [httpx.Response(500), httpx.Response(200, content=b"garbage")])
+async def test_answer_that_tells_no_outcome_is_told_as_unknown(
+    autojump_clock: trio.testing.MockClock, answer: httpx.Response
+) -> None:
+    def handle(request: httpx.Request) -> httpx.Response:
+        return answer if request.method == "PUT" else httpx.Response(503)
+
+    store = client.Store(
+        base_url="http://platform",
+        instance=ids.InstanceId("entry-1"),
+        http=httpx.AsyncClient(transport=httpx.MockTransport(handle)),
+    )
+    code = await code_of(store.put("a", b"1", rev=client.ABSENT, purpose=JOURNAL))
+    assert code is codes.ResultCode.STORE_TIMEOUT
