--- a/tests/sched/test_crash_points.py
+++ b/tests/sched/test_crash_points.py
@@ -176,6 +176,7 @@
 def test_without_a_cut_all_jobs_end_well() -> None:
     run = play(-1, harness.Cut.NONE)
     run.check()
+    checks.check_no_repeat(run.log, run.specs)
     assert checks.partial_s(run.log, run.specs) <= checks.CLOCK_S
     billing = run.records[jobs.job_id(SPECS["billing"], "billing")]
     assert billing.state is model.JobState.FINISHED
