--- a/tests/sched/test_archive.py
+++ b/tests/sched/test_archive.py
@@ -8,7 +8,7 @@
 from bronzequay import codes, errors, ids
 from bronzequay.policy import model
 from bronzequay.sched import journal
-from tests.sched import harness
+from tests.sched import harness, memory
 
 if TYPE_CHECKING:
     from trio import testing
@@ -33,8 +33,8 @@
     monkeypatch.setattr(journal, "BUCKETS", 2)
 
 
-async def open_journal(store: harness.MemoryStore, gate: harness.Gate) -> journal.Journal:
-    opened = journal.Journal(store=harness.StoreView(store, gate), partition=harness.PARTITION)
+async def open_journal(store: memory.MemoryStore, gate: memory.Gate) -> journal.Journal:
+    opened = journal.Journal(store=memory.StoreView(store, gate), partition=harness.PARTITION)
     await opened.take_over()
     return opened
 
@@ -50,16 +50,16 @@
 
 
 async def test_ended_jobs_move_and_stay_findable(autojump_clock: testing.MockClock) -> None:
-    store = harness.MemoryStore()
-    first = await open_journal(store, harness.Gate())
+    store = memory.MemoryStore()
+    first = await open_journal(store, memory.Gate())
     for start in range(0, 1600, 400):
         await fill(first, start, 399)
         await first.compact()
     assert len(list(first.records())) < 200
     assert all(len(entry.value) < 1_000_000 for entry, _ in store.entries.values())
-    second = await open_journal(store, harness.Gate())
+    second = await open_journal(store, memory.Gate())
     reader = journal.Reader(
-        store=harness.StoreView(store, harness.Gate()), partition=harness.PARTITION
+        store=memory.StoreView(store, memory.Gate()), partition=harness.PARTITION
     )
     assert await found(second, 1600) == list(range(1600))
     assert await second.find(ids.JobId("j1600")) is None
@@ -74,14 +74,14 @@
 async def test_a_compaction_cut_anywhere_loses_nothing(
     autojump_clock: testing.MockClock, cut_at: int
 ) -> None:
-    store, gate = harness.MemoryStore(), harness.Gate()
+    store, gate = memory.MemoryStore(), memory.Gate()
     first = await open_journal(store, gate)
     await fill(first, 0, 399)
-    gate.cut_at, gate.cut = len(gate.effects) + cut_at, harness.Cut.CRASH_AFTER
+    gate.cut_at, gate.cut = len(gate.effects) + cut_at, memory.Cut.CRASH_AFTER
     with trio.CancelScope() as scope:
         gate.kill = scope.cancel
         await first.compact()
-    second = await open_journal(store, harness.Gate())
+    second = await open_journal(store, memory.Gate())
     await fill(second, 400, 99)
     await second.compact()
     assert await found(second, 500) == list(range(500))
@@ -92,10 +92,10 @@
 async def test_an_earlier_scheduler_cannot_overwrite_a_segment(
     autojump_clock: testing.MockClock,
 ) -> None:
-    store = harness.MemoryStore()
-    first = await open_journal(store, harness.Gate())
+    store = memory.MemoryStore()
+    first = await open_journal(store, memory.Gate())
     await fill(first, 0, 399)
-    second = await open_journal(store, harness.Gate())
+    second = await open_journal(store, memory.Gate())
     await fill(second, 400, 99)
     await second.compact()
     with pytest.raises(errors.BronzequayError) as caught:
@@ -105,7 +105,7 @@
 
 
 async def test_a_full_bucket_takes_no_new_job(autojump_clock: testing.MockClock) -> None:
-    opened = await open_journal(harness.MemoryStore(), harness.Gate())
+    opened = await open_journal(memory.MemoryStore(), memory.Gate())
     await opened.commit([record(number, model.JobState.RUNNING) for number in range(1700)])
     jobs = [ids.JobId(f"n{number}") for number in range(8)]
     assert not all(opened.has_room(job, 1_500) for job in jobs)
--- a/tests/sched/test_crash_points.py
+++ b/tests/sched/test_crash_points.py
@@ -11,13 +11,13 @@
 from bronzequay import codes, errors, ids
 from bronzequay.policy import model
 from bronzequay.sched import jobs, journal
-from tests.sched import checks, harness
+from tests.sched import checks, harness, memory
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
 PARTIAL_BOUND_S = 12.0
-CUTS = [cut for cut in harness.Cut if cut is not harness.Cut.NONE]
+CUTS = [cut for cut in memory.Cut if cut is not memory.Cut.NONE]
 
 
 SPECS = {
@@ -45,7 +45,7 @@
     :param refused: jobs submitted without a retry that were told "not run"
     """
 
-    def __init__(self, cut_at: int, cut: harness.Cut) -> None:
+    def __init__(self, cut_at: int, cut: memory.Cut) -> None:
         self.cut_at = cut_at
         self.cut = cut
         self.fleet = harness.Fleet(workers=3)
@@ -73,7 +73,7 @@
             await self._cancel([one, two], unwanted)
             await self._wait_for_ends([one, two])
             self.effects = one.gate.effects
-            await trio.sleep(harness.LATE_S)
+            await trio.sleep(memory.LATE_S)
             self.ended_s = trio.current_time()
             self.log = await self.fleet.log()
             nursery.cancel_scope.cancel()
@@ -155,7 +155,7 @@
     monkeypatch.setattr(journal, "BUCKETS", 2)
 
 
-def play(cut_at: int, cut: harness.Cut) -> Run:
+def play(cut_at: int, cut: memory.Cut) -> Run:
     """Play the scenario with the same order of tasks every time."""
     run = Run(cut_at, cut)
     trio._core._run._r.seed(0)
@@ -163,7 +163,7 @@
     return run
 
 
-def failure(cut_at: int, cut: harness.Cut) -> str:
+def failure(cut_at: int, cut: memory.Cut) -> str:
     """Return what a cut broke, or nothing."""
     found = ""
     try:
@@ -174,7 +174,7 @@
 
 
 def test_without_a_cut_all_jobs_end_well() -> None:
-    run = play(-1, harness.Cut.NONE)
+    run = play(-1, memory.Cut.NONE)
     run.check()
     checks.check_no_repeat(run.log, run.specs)
     assert checks.partial_s(run.log, run.specs) <= checks.CLOCK_S
@@ -183,7 +183,7 @@
 
 
 @pytest.mark.parametrize("cut", CUTS, ids=lambda cut: cut.name.lower())
-def test_a_cut_at_any_effect_breaks_nothing(cut: harness.Cut) -> None:
-    effects = len(play(-1, harness.Cut.NONE).effects)
+def test_a_cut_at_any_effect_breaks_nothing(cut: memory.Cut) -> None:
+    effects = len(play(-1, memory.Cut.NONE).effects)
     failures = [failure(cut_at, cut) for cut_at in range(effects)]
     assert not any(failures), "".join(failures)
--- a/tests/sched/test_gateway.py
+++ b/tests/sched/test_gateway.py
@@ -7,7 +7,7 @@
 
 from bronzequay import codes, errors, ids
 from bronzequay.policy import model
-from tests.sched import harness
+from tests.sched import harness, members
 
 if TYPE_CHECKING:
     from trio import testing
@@ -18,9 +18,9 @@
 
     def __init__(self) -> None:
         self.fleet = harness.Fleet(workers=2)
-        self.mesh = harness.MemoryMesh()
+        self.mesh = members.MemoryMesh()
         self.members = [
-            harness.Member(self.fleet, name, self.mesh, {"w0", "w1"}) for name in ("i1", "i2", "i3")
+            members.Member(self.fleet, name, self.mesh, {"w0", "w1"}) for name in ("i1", "i2", "i3")
         ]
 
     async def start(self, nursery: trio.Nursery) -> None:
--- a/tests/sched/test_journal.py
+++ b/tests/sched/test_journal.py
@@ -7,7 +7,7 @@
 from bronzequay import codes, errors, ids
 from bronzequay.policy import model
 from bronzequay.sched import journal
-from tests.sched import harness
+from tests.sched import harness, memory
 
 if TYPE_CHECKING:
     from trio import testing
@@ -23,13 +23,13 @@
     )
 
 
-def open_journal(store: harness.MemoryStore, gate: harness.Gate | None = None) -> journal.Journal:
-    view = harness.StoreView(store, gate or harness.Gate())
+def open_journal(store: memory.MemoryStore, gate: memory.Gate | None = None) -> journal.Journal:
+    view = memory.StoreView(store, gate or memory.Gate())
     return journal.Journal(store=view, partition=harness.PARTITION)
 
 
 async def test_a_takeover_finds_what_was_committed(autojump_clock: testing.MockClock) -> None:
-    store = harness.MemoryStore()
+    store = memory.MemoryStore()
     first = open_journal(store)
     assert await first.take_over() == ()
     await first.commit([record("a"), record("b")])
@@ -39,7 +39,7 @@
 
 
 async def test_an_earlier_scheduler_can_write_no_bucket(autojump_clock: testing.MockClock) -> None:
-    store = harness.MemoryStore()
+    store = memory.MemoryStore()
     first = open_journal(store)
     await first.take_over()
     await open_journal(store).take_over()
@@ -50,7 +50,7 @@
 
 
 async def test_one_write_a_bucket_for_many_records(autojump_clock: testing.MockClock) -> None:
-    store = harness.MemoryStore()
+    store = memory.MemoryStore()
     only = open_journal(store)
     await only.take_over()
     before = store.writes
@@ -61,10 +61,10 @@
 async def test_a_lost_answer_is_found_to_have_taken_effect(
     autojump_clock: testing.MockClock,
 ) -> None:
-    store, gate = harness.MemoryStore(), harness.Gate()
+    store, gate = memory.MemoryStore(), memory.Gate()
     only = open_journal(store, gate)
     await only.take_over()
-    gate.cut_at, gate.cut = len(gate.effects), harness.Cut.LOST
+    gate.cut_at, gate.cut = len(gate.effects), memory.Cut.LOST
     await only.commit([record("a")])
     await only.commit([record("a"), record("b")])
     assert {found.job for found in only.records()} == {"a", "b"}
@@ -73,7 +73,7 @@
 async def test_nothing_counts_as_durable_before_the_store_confirms(
     autojump_clock: testing.MockClock, nursery: object
 ) -> None:
-    store, gate = harness.MemoryStore(), harness.Gate()
+    store, gate = memory.MemoryStore(), memory.Gate()
     only = open_journal(store, gate)
     await only.take_over()
     await only.commit([record("a")])
--- a/tests/sched/test_keepers.py
+++ b/tests/sched/test_keepers.py
@@ -6,7 +6,7 @@
 import trio
 
 from bronzequay.policy import model
-from tests.sched import checks, harness
+from tests.sched import checks, harness, members
 
 if TYPE_CHECKING:
     from trio import testing
@@ -19,9 +19,9 @@
 
     def __init__(self) -> None:
         self.fleet = harness.Fleet(workers=2)
-        self.mesh = harness.MemoryMesh()
-        self.one = harness.Member(self.fleet, "i1", self.mesh, set())
-        self.two = harness.Member(self.fleet, "i2", self.mesh, {"w0", "w1"})
+        self.mesh = members.MemoryMesh()
+        self.one = members.Member(self.fleet, "i1", self.mesh, set())
+        self.two = members.Member(self.fleet, "i2", self.mesh, {"w0", "w1"})
 
     async def start(self, nursery: trio.Nursery) -> None:
         nursery.start_soon(self.one.run)
--- a/tests/work/test_keeper.py
+++ b/tests/work/test_keeper.py
@@ -9,7 +9,7 @@
 from bronzequay import ids
 from bronzequay.fakes import worker as fake_worker
 from bronzequay.work import client, fleet, keeper
-from tests.sched import harness
+from tests.sched import harness, memory
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -28,8 +28,8 @@
         transport = harness.in_process(self.fakes.app)
         self.http = httpx.AsyncClient(transport=transport)
         workers = client.WorkerClient(http=self.http)
-        gate = harness.Gate()
-        store = harness.StoreView(self.fakes.store, gate)
+        gate = memory.Gate()
+        store = memory.StoreView(self.fakes.store, gate)
         self.fleet = fleet.Fleet(instances=store.instances, workers=workers)
         self.is_shared = True
         self.silences = 0
