--- a/src/bronzequay/sched/scheduler.py
+++ b/src/bronzequay/sched/scheduler.py
@@ -43,7 +43,7 @@
     :param wall_clock: seconds since the Unix epoch
     :param fleet: the workers; by default one of its own, which ``run`` polls
     :param withhold: has every keeper stop renewing tasks; by default a keeper of its own for
-        every worker, which ``run`` runs
+        every worker, which ``run`` runs, right only where no other instance keeps leases
     :param payload: what a worker is to run for a job
     """
 
