--- a/src/bronzequay/policy/preemption.py
+++ b/src/bronzequay/policy/preemption.py
@@ -105,7 +105,7 @@
     """Return the price for work within its caller's due: those beyond theirs may be stopped."""
 
     def may_stop(record: model.JobRecord) -> bool:
-        return is_over_due(state, record)
+        return has_run(record, now_s) and is_over_due(state, record)
 
     return _priced(state, now_s, may_stop)
 
