A graceful shutdown cuts no request; one reader of the platform's list

Cause of the cut requests: the server closed idle kept-alive connections at the very moment when callers used them again. Settings that nothing read (scheduler_lease_s, task_lease_s) are gone.

--- a/bench/history.py
+++ b/bench/history.py
@@ -58,7 +58,8 @@
 
 
 def _is_kept(entries: Log, members: int) -> bool:
-    return members == sum(entry["event"] == "checkpoint" for entry in entries)
+    kept = [entry for entry in entries if entry["event"] == "checkpoint"]
+    return len(kept) == members
 
 
 def partial_gangs(log: Log, records: Mapping[ids.JobId, model.JobRecord]) -> list[ids.JobId]:
--- a/src/bronzequay/cfg/entry.py
+++ b/src/bronzequay/cfg/entry.py
@@ -65,20 +65,6 @@
         description="address of the platform's service",
         parse=settings.url,
     ),
-    settings.Setting(
-        name="scheduler_lease_s",
-        default="3",
-        unit="s",
-        description="time to live of the scheduler's lease; a takeover waits for it",
-        parse=settings.number(0.5, 60),
-    ),
-    settings.Setting(
-        name="task_lease_s",
-        default="30",
-        unit="s",
-        description="time to live of a task's lease on a worker",
-        parse=settings.number(1, 3600),
-    ),
     settings.Setting(
         name="discovery_s",
         default="1",
@@ -150,8 +136,6 @@
     port: int
     mesh_port: int
     platform_url: str
-    scheduler_lease_s: float
-    task_lease_s: float
     discovery_s: float
     drain_timeout_s: float
     peers: str
--- a/src/bronzequay/discovery.py
+++ b/src/bronzequay/discovery.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Sequence
 
-    from bronzequay.store import client
+    from bronzequay.store import entries
 
 _log = structlog.get_logger()
 
@@ -24,7 +24,7 @@
 class Discovery:
     """Reads the lagging list and asks each new executor for its service.
 
-    :param store: client of the platform's service
+    :param instances: reads the platform's list
     :param executors: adapter to the executors
     :param interval_s: seconds between looks
     :param on_executors: called with the executors of every service at each look
@@ -34,13 +34,13 @@
     def __init__(
         self,
         *,
-        store: client.Store,
+        instances: Callable[[], Awaitable[Sequence[entries.InstanceEntry]]],
         executors: executor_client.ExecutorClient,
         interval_s: float,
         on_executors: Callable[[ExecutorList], None],
-        on_entries: Callable[[Sequence[client.InstanceEntry]], Awaitable[None]],
+        on_entries: Callable[[Sequence[entries.InstanceEntry]], Awaitable[None]],
     ) -> None:
-        self._store = store
+        self._instances = instances
         self._executors = executors
         self._interval_s = interval_s
         self._on_executors = on_executors
@@ -51,7 +51,7 @@
         """Look at the list until cancelled; keeps the last one through an outage."""
         while True:
             try:
-                listed = await self._store.instances()
+                listed = await self._instances()
             except errors.BronzequayError as exc:
                 _log.warning("list_unavailable", code=exc.code.value)
             else:
@@ -59,7 +59,7 @@
                 await self._learn_executors([item for item in listed if item.kind == "executor"])
             await trio.sleep(self._interval_s)
 
-    async def _learn_executors(self, listed: Sequence[client.InstanceEntry]) -> None:
+    async def _learn_executors(self, listed: Sequence[entries.InstanceEntry]) -> None:
         async with trio.open_nursery() as nursery:
             for item in listed:
                 if item.id not in self._services:
@@ -71,7 +71,7 @@
                 found.setdefault(service, []).append(_executor(item))
         self._on_executors(found)
 
-    async def _describe(self, item: client.InstanceEntry) -> None:
+    async def _describe(self, item: entries.InstanceEntry) -> None:
         try:
             description = await self._executors.describe(item.address)
         except executor_client.RunError as exc:
@@ -80,7 +80,7 @@
         self._services[item.id] = description.service
 
 
-def _executor(item: client.InstanceEntry) -> route_model.Executor:
+def _executor(item: entries.InstanceEntry) -> route_model.Executor:
     return route_model.Executor(
         executor=ids.ExecutorId(item.id),
         address=item.address,
--- a/src/bronzequay/instance.py
+++ b/src/bronzequay/instance.py
@@ -14,7 +14,7 @@
 
 from bronzequay import ids
 from bronzequay.api import app as api_app
-from bronzequay.api import auth, services
+from bronzequay.api import auth, drain, services
 from bronzequay.cfg import follow, holder, rollout
 from bronzequay.discovery import Discovery, ExecutorList
 from bronzequay.neighbours import Neighbours
@@ -22,7 +22,7 @@
 from bronzequay.peer import members, mesh, shares, spread
 from bronzequay.route import claims, router
 from bronzequay.sched import gateway, keepers, scheduler
-from bronzequay.store import budget, client, watch
+from bronzequay.store import budget, client, connections, listing, watch
 from bronzequay.work import client as worker_client
 from bronzequay.work import executor as executor_client
 from bronzequay.work import fleet
@@ -38,6 +38,8 @@
 MAX_CONNECTIONS = 2048
 HTTP_TIMEOUT_S = 30.0
 """Backstop; each adapter sets a deadline of its own."""
+QUIET_TIMEOUT_S = 10.0
+"""Longest wait for callers to leave after the last request was finished."""
 BALANCER_NOTICE_S = 1.0
 """Time that the platform's balancer takes to see an unhealthy answer."""
 
@@ -59,9 +61,10 @@
         self._wall_clock = wall_clock
         self._is_draining = False
         self._stop_serving = trio.Event()
+        self._traffic = drain.Traffic()
         self._exits = contextlib.AsyncExitStack()
         self._http = _http_client()
-        self._store_http = _http_client()
+        self._store_http = connections.open_client()
         self.metrics = metrics.Metrics(address=cfg.statsd_address)
         self.holder = holder.Holder(wall_clock=wall_clock)
         self.registry = auth.Registry(first=auth.parse_first(cfg.operator_tokens))
@@ -73,6 +76,7 @@
                 reads_per_s=cfg.store_reads_per_s, writes_per_s=cfg.store_writes_per_s
             ),
         )
+        self._listing = listing.Listing(self.store)
         self._watch = watch.Watch(self.store, prefix=rollout.HEAD_KEY)
         self._build_peers()
         self._build_requests()
@@ -112,7 +116,7 @@
         )
         self.routers: dict[ids.ServiceId, router.Router] = {}
         self.discovery = Discovery(
-            store=self.store,
+            instances=self._listing.instances,
             executors=self._executors,
             interval_s=self._cfg.discovery_s,
             on_executors=self._on_executors,
@@ -122,7 +126,7 @@
     def _build_jobs(self) -> None:
         cfg = self._cfg
         workers = worker_client.WorkerClient(http=self._http)
-        self.fleet = fleet.Fleet(instances=self.store.instances, workers=workers)
+        self.fleet = fleet.Fleet(instances=self._listing.instances, workers=workers)
         self.scheduler = scheduler.Scheduler(
             partition=cfg.region,
             instance=cfg.instance,
@@ -189,6 +193,8 @@
                 for item in self.routers.values():
                     nursery.start_soon(item.drain)
         await self.scheduler.shutdown()
+        with trio.move_on_after(QUIET_TIMEOUT_S):
+            await self._traffic.wait_quiet()
         self._stop_serving.set()
         _log.info("shutdown_finished")
 
@@ -203,7 +209,9 @@
         server.keep_alive_timeout = KEEP_ALIVE_S
         server.graceful_timeout = self._cfg.drain_timeout_s
         await hypercorn.trio.serve(
-            api_app.make_app(self._deps),  # type: ignore[arg-type]
+            drain.watch(  # type: ignore[arg-type]
+                api_app.make_app(self._deps), self._traffic, lambda: self._is_draining
+            ),
             server,
             shutdown_trigger=self._stop_serving.wait,
             task_status=task_status,
--- a/tests/cfg/test_settings.py
+++ b/tests/cfg/test_settings.py
@@ -27,7 +27,7 @@
         ({"instance": None}, {}, codes.ResultCode.SETTING_MISSING),
         ({**REQUIRED, "port": "70000"}, {}, codes.ResultCode.SETTING_INVALID),
         ({**REQUIRED, "port": "ten"}, {}, codes.ResultCode.SETTING_INVALID),
-        ({**REQUIRED, "scheduler_lease_s": "nan"}, {}, codes.ResultCode.SETTING_INVALID),
+        ({**REQUIRED, "discovery_s": "nan"}, {}, codes.ResultCode.SETTING_INVALID),
         ({**REQUIRED, "platform_url": "store"}, {}, codes.ResultCode.SETTING_INVALID),
         (REQUIRED, {"BRONZEQUAY_PROT": "1"}, codes.ResultCode.SETTING_UNKNOWN),
     ],
