--- a/src/bronzequay/policy/core.py
+++ b/src/bronzequay/policy/core.py
@@ -74,7 +74,7 @@
     seats = _seats(state, record)
     if record.state in _BOUND and seats:
         seating = guarantees.Seating(
-            record.job, record.spec.org, record.share, seats, not record.spec.reclaimable
+            record.job, record.spec.org, record.share, seats, guarantees.firm_level(record.spec)
         )
         guarantees.enter(state.book, state.fleet, seating)
     kept = record.cells
@@ -271,7 +271,7 @@
     seats = tuple(guarantees.Seat(_part_cell(seat), seat.part) for seat in seating.seats)
     record.cells = tuple(seat.cell for seat in seats)
     kept = guarantees.Seating(
-        job, record.spec.org, model.Share.FIXED, seats, not record.spec.reclaimable
+        job, record.spec.org, model.Share.FIXED, seats, guarantees.firm_level(record.spec)
     )
     guarantees.enter(state.book, state.fleet, kept)
 
--- a/src/bronzequay/policy/dispatch.py
+++ b/src/bronzequay/policy/dispatch.py
@@ -199,7 +199,7 @@
         return True
     seats = planning.seats_of(draft)
     seating = guarantees.Seating(
-        record.job, record.spec.org, share, seats, not record.spec.reclaimable
+        record.job, record.spec.org, share, seats, guarantees.firm_level(record.spec)
     )
     return guarantees.try_enter(state.book, state.fleet, seating)
 
--- a/src/bronzequay/policy/guarantees.py
+++ b/src/bronzequay/policy/guarantees.py
@@ -32,14 +32,14 @@
 class Seating(msgspec.Struct, frozen=True):
     """The cells of a gang that is not a borrower, one seat a member.
 
-    :param is_firm: whether the gang cannot be reclaimed
+    :param firm_level: level of a member's accelerators, None if the gang can be reclaimed
     """
 
     job: ids.JobId
     org: ids.OrgId
     share: model.Share
     seats: tuple[Seat, ...]
-    is_firm: bool
+    firm_level: int | None
 
 
 class OrgBook(msgspec.Struct):
@@ -162,19 +162,31 @@
     entry.firm_rest = rest
 
 
+def firm_level(spec: model.JobSpec) -> int | None:
+    """Return the level of a member's accelerators, or None if the gang can be reclaimed."""
+    return None if spec.reclaimable else cells.level(spec.accelerators)
+
+
 def _hold_firm(book: Book, flt: fleet.Fleet, seating: Seating, sign: int) -> None:
-    if not seating.is_firm:
+    if seating.firm_level is None:
         return
     entry = book.orgs.setdefault(seating.org, OrgBook([0] * cells.LEVELS, [0] * cells.LEVELS))
     for seat in seating.seats:
-        entry.firm[cells.level(seat.part.bit_count())] += sign
-        worker = flt.workers.get(seat.cell.worker)
-        if worker is not None:
-            worker.firm = worker.firm | seat.part if sign > 0 else worker.firm & ~seat.part
-            fleet.refresh(flt, worker)
+        entry.firm[seating.firm_level] += sign
+        _mark_firm(flt, seat, seating.firm_level, is_firm=sign > 0)
     _recount_firm(book, entry)
 
 
+def _mark_firm(flt: fleet.Fleet, seat: Seat, at_level: int, *, is_firm: bool) -> None:
+    worker = flt.workers.get(seat.cell.worker)
+    if worker is None:
+        return
+    first = (seat.part & -seat.part).bit_length() - 1
+    mask = cells.block(first, 1 << at_level) & seat.part & worker.everything
+    worker.firm = worker.firm | mask if is_firm else worker.firm & ~mask
+    fleet.refresh(flt, worker)
+
+
 def enter(book: Book, flt: fleet.Fleet, seating: Seating) -> None:
     """Bind a gang's cells, without asking whether the rest still fits."""
     book.seatings[seating.job] = seating
@@ -278,10 +290,8 @@
     seating = book.seatings.get(job)
     for seat in seating.seats if seating else ():
         _set_open(flt, seat.cell, is_open=False)
-        worker = flt.workers.get(seat.cell.worker)
-        if seating is not None and seating.is_firm and worker is not None:
-            worker.firm |= seat.part & worker.everything
-            fleet.refresh(flt, worker)
+        if seating is not None and seating.firm_level is not None:
+            _mark_firm(flt, seat, seating.firm_level, is_firm=True)
 
 
 def try_enter(book: Book, flt: fleet.Fleet, seating: Seating) -> bool:
@@ -337,6 +347,7 @@
     "change",
     "close",
     "enter",
+    "firm_level",
     "firm_short",
     "follow",
     "leave",
--- a/src/bronzequay/policy/lifecycle.py
+++ b/src/bronzequay/policy/lifecycle.py
@@ -230,7 +230,7 @@
             record.spec.org,
             model.Share.FIXED,
             tuple(seats),
-            not record.spec.reclaimable,
+            guarantees.firm_level(record.spec),
         )
         guarantees.enter(state.book, state.fleet, seating)
 
