--- a/src/bronzequay/policy/model.py
+++ b/src/bronzequay/policy/model.py
@@ -37,6 +37,7 @@
     :param idempotent: whether the job may be started again after an unknown outcome
     :param reclaimable: whether the job may borrow and be checkpointed and stopped
     :param deadline_s: seconds after acceptance by which the job is to finish
+    :param payload: handed to the workers unread
     """
 
     org: ids.OrgId
@@ -50,6 +51,7 @@
     idempotent: bool = False
     reclaimable: bool = True
     deadline_s: float | None = None
+    payload: dict[str, str | int | float | bool] = {}
 
 
 class WorkerSpec(msgspec.Struct, frozen=True):
@@ -221,11 +223,13 @@
     """Every member of the attempt is known to be stopped.
 
     :param kept_s: run time of this attempt that a checkpoint kept, in seconds
+    :param is_kept: whether checkpoints of every member succeeded
     """
 
     job: ids.JobId
     attempt: int
     kept_s: float = 0.0
+    is_kept: bool = False
 
 
 class GangUnknown(msgspec.Struct, frozen=True):
