--- a/src/bronzequay/api/auth.py
+++ b/src/bronzequay/api/auth.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import enum
 import hashlib
 import hmac
@@ -15,7 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-SCHEME = "Bearer "
+BEARER = "Bearer "
+BASIC = "Basic "
 
 
 class Right(enum.Enum):
@@ -84,9 +86,7 @@
         :param header: value of the ``authorization`` header
         :raises errors.BronzequayError: UNAUTHENTICATED
         """
-        if header is None or not header.startswith(SCHEME):
-            raise _unauthenticated("a bearer token is required")
-        digest = hashlib.sha256(header.removeprefix(SCHEME).encode()).hexdigest()
+        digest = hashlib.sha256(_token(header or "").encode()).hexdigest()
         # The look-up goes by digest, so its timing tells nothing of a token.
         found = self._known.get(digest)
         if found is not None and hmac.compare_digest(found.token_sha256, digest):
@@ -94,6 +94,19 @@
         raise _unauthenticated("the token is not known")
 
 
+def _token(header: str) -> str:
+    """Return the token of a header; browsers send it as the password of basic authentication."""
+    if header.startswith(BEARER):
+        return header.removeprefix(BEARER)
+    if not header.startswith(BASIC):
+        raise _unauthenticated("a bearer token is required")
+    try:
+        pair = base64.b64decode(header.removeprefix(BASIC), validate=True).decode()
+    except ValueError:
+        raise _unauthenticated("the header is not valid") from None
+    return pair.partition(":")[2]
+
+
 def _identity(item: bundles.Principal) -> Identity:
     org = ids.OrgId(item.organisation) if item.organisation is not None else None
     return Identity(item.name, item.role, org, item.token_sha256)
--- a/src/bronzequay/cli/bundle_history.py
+++ b/src/bronzequay/cli/bundle_history.py
@@ -8,6 +8,7 @@
 
 from bronzequay.cfg import rollout
 from bronzequay.cli import http, output, registry
+from bronzequay.obs import report
 
 
 class _Versions(msgspec.Struct):
@@ -26,7 +27,7 @@
             output.print_json(raw)
             return
         rows = [
-            (item.version, output.when(item.at_s), item.author, item.signed_by, item.digest)
+            (item.version, report.moment(item.at_s), item.author, item.signed_by, item.digest)
             for item in msgspec.json.decode(raw, type=_Versions).versions
         ]
         output.print_table(("VERSION", "AT", "AUTHOR", "SIGNED OFF BY", "DIGEST"), rows)
--- a/src/bronzequay/cli/output.py
+++ b/src/bronzequay/cli/output.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import datetime
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from bronzequay.obs import words
+from bronzequay.obs import report, words
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -42,7 +41,7 @@
             record.spec.caller,
             record.spec.members,
             record.spec.members * record.spec.accelerators,
-            when(record.accepted_s),
+            report.moment(record.accepted_s),
         )
         for record in records
     ]
@@ -53,7 +52,7 @@
     """Print one line for each change of a job's state."""
     rows = [
         (
-            when(entry.at_s),
+            report.moment(entry.at_s),
             words.state_words(entry.state),
             f"{entry.code.value} {entry.code.name}",
             entry.attempt or "-",
@@ -66,13 +65,4 @@
     print_table(("AT", "STATE", "CODE", "ATTEMPT", "BUNDLE", "WORKERS", "DETAIL"), rows)
 
 
-def when(at_s: float) -> str:
-    """Return a moment in UTC, to the second.
-
-    :param at_s: seconds since the Unix epoch
-    """
-    moment = datetime.datetime.fromtimestamp(at_s, tz=datetime.UTC)
-    return moment.strftime("%Y-%m-%d %H:%M:%S")
-
-
-__all__ = ["print_history", "print_jobs", "print_json", "print_table", "when"]
+__all__ = ["print_history", "print_jobs", "print_json", "print_table"]
--- a/src/bronzequay/codes.py
+++ b/src/bronzequay/codes.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 
 class ResultCode(enum.IntEnum):
@@ -72,4 +76,61 @@
     ADDRESS_IN_USE = 703
 
 
-__all__ = ["ResultCode"]
+MEANINGS: Mapping[ResultCode, str] = {
+    ResultCode.OK: "it finished well",
+    ResultCode.ACCEPTED: "accepted, durable, waiting or in progress",
+    ResultCode.MALFORMED_BODY: "the body is not valid JSON, or a value has the wrong type",
+    ResultCode.UNKNOWN_FIELD: "the body has a field that does not exist",
+    ResultCode.VALUE_OUT_OF_RANGE: "a value is outside its range",
+    ResultCode.VALUE_TOO_LARGE: "a body or value is larger than allowed",
+    ResultCode.UNKNOWN_ORG: "no such organisation in the bundle in force",
+    ResultCode.UNKNOWN_JOB: "no such job",
+    ResultCode.UNKNOWN_SERVICE: "no executor of that service is known",
+    ResultCode.UNSUPPORTED_VERSION: "that version of the API is not served",
+    ResultCode.KEY_REUSED: "the deduplication key was used for something else",
+    ResultCode.UNAUTHENTICATED: "the token is missing or not known",
+    ResultCode.FORBIDDEN: "the role or the organisation does not allow it",
+    ResultCode.NOT_FOUND: "no such page",
+    ResultCode.METHOD_NOT_ALLOWED: "the page does not take that method",
+    ResultCode.ILLEGAL_TRANSITION: "the job's state does not allow it",
+    ResultCode.QUEUE_FULL: "the organisation's queue is full; nothing ran",
+    ResultCode.OVER_SHARE: "the caller has too much waiting; nothing ran",
+    ResultCode.DEADLINE_PASSED: "the deadline passed before it could start; nothing ran",
+    ResultCode.INFEASIBLE: "it can never run under the bundle and fleet in force",
+    ResultCode.SHUTTING_DOWN: "this instance is leaving; nothing ran, ask another",
+    ResultCode.NO_EXECUTOR: "no executor takes new work; nothing ran",
+    ResultCode.RULE_REFUSED: "a rule of the bundle refuses it; nothing ran",
+    ResultCode.STORE_UNAVAILABLE: "the platform's service is down; nothing ran",
+    ResultCode.NO_SCHEDULER: "no scheduler is active; nothing was accepted",
+    ResultCode.TASK_FAILED: "a task failed",
+    ResultCode.WORKER_LOST: "a worker was lost with a member of the gang",
+    ResultCode.CANCELLED: "it was cancelled",
+    ResultCode.IN_DOUBT: "it is not known whether it ran to its end",
+    ResultCode.RETRIES_EXHAUSTED: "it failed as often as it may be tried",
+    ResultCode.EXECUTOR_FAILED: "the executor ran the request and the run failed",
+    ResultCode.OUTCOME_UNKNOWN: "the request may have run; its answer is lost",
+    ResultCode.RECLAIMED: "stopped to give accelerators back, to be started again",
+    ResultCode.GANG_INCOMPLETE: "not all members of the gang could be started",
+    ResultCode.BUNDLE_INVALID: "the bundle does not pass its checks",
+    ResultCode.BUNDLE_CONFLICT: "another version came into force first",
+    ResultCode.GUARANTEES_UNMET: "the fleet cannot hold all guarantees together",
+    ResultCode.SIGN_OFF_REQUIRED: "a review or a sign-off is missing",
+    ResultCode.BUNDLE_UNKNOWN: "no such draft or bundle",
+    ResultCode.STORE_CONFLICT: "another writer changed the key first",
+    ResultCode.STORE_TIMEOUT: "the platform's service did not answer; the outcome is unknown",
+    ResultCode.STORE_BUDGET: "this instance's budget of store calls is spent",
+    ResultCode.LEASE_LOST: "the lease ran out or was taken",
+    ResultCode.FENCED: "a later scheduler has taken over",
+    ResultCode.PEER_TIMEOUT: "another instance did not answer",
+    ResultCode.WORKER_UNREACHABLE: "a worker did not answer",
+    ResultCode.INSTANCE_UNREACHABLE: "no entry instance answered the command line",
+    ResultCode.INTERNAL: "an internal error; the log has it",
+    ResultCode.SETTING_INVALID: "a setting's value is not allowed",
+    ResultCode.SETTING_UNKNOWN: "a BRONZEQUAY_ variable names no setting",
+    ResultCode.SETTING_MISSING: "a required setting has no value",
+    ResultCode.ADDRESS_IN_USE: "the address to listen on is taken",
+}
+"""What each code means, in plain words; docs/result-codes.md shows the same."""
+
+
+__all__ = ["MEANINGS", "ResultCode"]
--- a/src/bronzequay/obs/report.py
+++ b/src/bronzequay/obs/report.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from bronzequay import ids
+from bronzequay import codes, ids
 from bronzequay.obs import words
 from bronzequay.policy import model
 
@@ -15,6 +15,9 @@
     from collections.abc import Iterable
 
 
+HEAD = ("JOB", "FOR", "STATE", "ACCEPTED", "STARTED", "ENDED", "BUNDLE", "WORKERS", "WHY")
+
+
 class Line(msgspec.Struct, frozen=True):
     """One job of the report; times are seconds since the Unix epoch.
 
@@ -52,10 +55,14 @@
     """
     chosen = [record for record in records if from_s <= record.accepted_s <= to_s]
     chosen.sort(key=lambda record: (record.accepted_s, record.job))
-    return Report(from_s, to_s, tuple(_line(record) for record in chosen))
+    return Report(from_s, to_s, tuple(line(record) for record in chosen))
 
 
-def _line(record: model.JobRecord) -> Line:
+def line(record: model.JobRecord) -> Line:
+    """Return a job's line.
+
+    :param record: the job
+    """
     last = record.history[-1]
     return Line(
         job=record.job,
@@ -69,10 +76,15 @@
         workers=_workers(record),
         attempts=record.attempt,
         bundle=last.bundle,
-        why=last.detail or record.code.name.lower().replace("_", " "),
+        why=_why(record, last),
     )
 
 
+def _why(record: model.JobRecord, last: model.HistoryEntry) -> str:
+    meaning = codes.MEANINGS[record.code]
+    return f"{meaning} ({last.detail})" if last.detail else meaning
+
+
 def _workers(record: model.JobRecord) -> tuple[ids.WorkerId, ...]:
     for entry in reversed(record.history):
         if entry.workers:
@@ -82,33 +94,37 @@
 
 def as_text(report: Report) -> str:
     """Return the report as a table for people."""
-    head = ("JOB", "FOR", "STATE", "ACCEPTED", "STARTED", "ENDED", "BUNDLE", "WORKERS", "WHY")
-    rows = [head, *[_row(line) for line in report.lines]]
-    widths = [max(len(row[place]) for row in rows) for place in range(len(head))]
+    rows = [HEAD, *[row(line) for line in report.lines]]
+    widths = [max(len(row[place]) for row in rows) for place in range(len(HEAD))]
     return "\n".join(
         "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
         for row in rows
     )
 
 
-def _row(line: Line) -> tuple[str, ...]:
+def row(line: Line) -> tuple[str, ...]:
+    """Return a line's cells, in the order of ``HEAD``."""
     return (
         line.job,
         f"{line.org}/{line.caller}",
         words.state_words(line.state),
-        _clock(line.accepted_s),
-        _clock(line.started_s),
-        _clock(line.ended_s),
+        moment(line.accepted_s),
+        moment(line.started_s),
+        moment(line.ended_s),
         str(line.bundle),
         ",".join(line.workers) or "-",
         f"{line.code} {line.why}",
     )
 
 
-def _clock(at_s: float | None) -> str:
+def moment(at_s: float | None) -> str:
+    """Return a moment in UTC, to the second; "-" for none.
+
+    :param at_s: seconds since the Unix epoch
+    """
     if at_s is None:
         return "-"
-    return datetime.datetime.fromtimestamp(at_s, tz=datetime.UTC).strftime("%H:%M:%S")
+    return datetime.datetime.fromtimestamp(at_s, tz=datetime.UTC).strftime("%Y-%m-%d %H:%M:%S")
 
 
-__all__ = ["Line", "Report", "as_text", "build"]
+__all__ = ["HEAD", "Line", "Report", "as_text", "build", "line", "moment", "row"]
