Lists show the newest jobs first

Cause: the gateway sorts newest first by now and the route reversed that, so a list with a limit showed the oldest. The route passes the limit on; the test of the order fails on the code before.

--- a/src/bronzequay/api/jobs.py
+++ b/src/bronzequay/api/jobs.py
@@ -54,8 +54,8 @@
         org = _org_filter(identity, quart.request.args.get("org"))
         state = _state_filter(quart.request.args.get("state"))
         limit = _limit(quart.request.args.get("limit"))
-        records = await deps.gateway.list(org=org, state=state)
-        return answers.json_answer(JobPage(records[::-1][:limit]))
+        records = await deps.gateway.list(org=org, state=state, limit=limit)
+        return answers.json_answer(JobPage(records))
 
     @routes.post("/cancel")
     async def cancel() -> quart.Response:
--- a/src/bronzequay/api/sheet.py
+++ b/src/bronzequay/api/sheet.py
@@ -49,8 +49,10 @@
         right = auth.Right.READ_ALL if org is None else auth.Right.READ_OWN
         auth.require(identity, right, org=ids.OrgId(org) if org else None)
         wanted = _state(state)
-        records = await deps.gateway.list(org=ids.OrgId(org) if org else None, state=wanted)
-        lines = [report.line(record) for record in records[:MAX_ROWS]]
+        records = await deps.gateway.list(
+            org=ids.OrgId(org) if org else None, state=wanted, limit=MAX_ROWS
+        )
+        lines = [report.line(record) for record in records]
         return quart.Response(
             render(lines, org=org, state=wanted),
             status=HTTPStatus.OK.value,
--- a/tests/api/conftest.py
+++ b/tests/api/conftest.py
@@ -68,10 +68,15 @@
         return tuple(self.records[job] for job in wanted)
 
     async def list(
-        self, *, org: ids.OrgId | None = None, state: model.JobState | None = None
+        self,
+        *,
+        org: ids.OrgId | None = None,
+        state: model.JobState | None = None,
+        limit: int | None = None,
     ) -> tuple[model.JobRecord, ...]:
         found = [item for item in self.records.values() if org in (None, item.spec.org)]
-        return tuple(item for item in found if state in (None, item.state))
+        newest = reversed([item for item in found if state in (None, item.state)])
+        return tuple(newest)[:limit]
 
     async def why(self, job: ids.JobId) -> str:
         return f"{job} waits"
--- a/tests/api/test_jobs.py
+++ b/tests/api/test_jobs.py
@@ -43,6 +43,19 @@
     assert gateway.cancelled == [job]
 
 
+async def test_a_list_shows_the_newest_jobs_first_up_to_its_limit(
+    http: httpx.AsyncClient, autojump_clock: trio.testing.MockClock
+) -> None:
+    made = [
+        (await http.post("/v1/jobs", json={**GOOD, "key": f"k{number}"}, headers=CALLER)).json()
+        for number in range(5)
+    ]
+    listed = await http.get("/v1/jobs?limit=3", headers=CALLER)
+    assert [item["job"] for item in listed.json()["jobs"]] == [
+        item["job"] for item in reversed(made[2:])
+    ]
+
+
 @pytest.mark.parametrize(
     ("change", "code"),
     [
