Bundles: guarantees that the fleet cannot hold are refused at the roll-out; floors reach the routers

The bundle's urgency floors were used by the scheduler alone, the routers kept their defaults; a changed bundle now sets them.

--- a/src/bronzequay/api/services.py
+++ b/src/bronzequay/api/services.py
@@ -6,15 +6,17 @@
 from typing import TYPE_CHECKING, Any
 
 from bronzequay import ids
-from bronzequay.cfg import rollout
+from bronzequay.cfg import bundle as bundles
+from bronzequay.cfg import feasible, rollout
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Mapping, Sequence
 
     import quart
 
     from bronzequay.api import auth
     from bronzequay.cfg import holder
+    from bronzequay.policy import model
     from bronzequay.route import router
     from bronzequay.sched import gateway
     from bronzequay.store import client
@@ -28,6 +30,7 @@
     :param routers: one for each known service
     :param dump: the state of this process
     :param wall_clock: seconds since the Unix epoch
+    :param workers: the workers that take new work
     """
 
     instance: ids.InstanceId
@@ -40,6 +43,7 @@
     dump: Callable[[], Mapping[str, Any]]
     is_draining: Callable[[], bool]
     wall_clock: Callable[[], float]
+    workers: Callable[[], Sequence[model.WorkerSpec]]
 
     def identify(self, req: quart.Request) -> auth.Identity:
         """Return who sent a request.
@@ -51,15 +55,17 @@
     async def roll_out(self, digest: str, *, expected: int) -> rollout.HeadEntry:
         """Roll a draft out and adopt it on this instance at once.
 
-        :raises errors.BronzequayError: as ``rollout.roll_out``
+        :raises errors.BronzequayError: as ``rollout.roll_out`` and ``feasible.check``
         """
+        text = await rollout.read_body(self.store, digest)
+        feasible.check(bundles.parse(text), self.workers())
         entry = await rollout.roll_out(
             self.store,
             digest,
             expected=ids.BundleVersion(expected),
             wall_clock=self.wall_clock,
         )
-        self.holder.adopt(entry.version, await rollout.read_body(self.store, digest))
+        self.holder.adopt(entry.version, text)
         return entry
 
 
--- a/src/bronzequay/instance.py
+++ b/src/bronzequay/instance.py
@@ -31,6 +31,7 @@
     from collections.abc import Callable, Sequence
 
     from bronzequay.cfg import entry
+    from bronzequay.policy import model
     from bronzequay.store import entries
 
 KEEP_ALIVE_S = 300.0
@@ -93,6 +94,7 @@
             dump=dump.make_dump(resolved=resolved, sections=self._sections()),
             is_draining=lambda: self._is_draining,
             wall_clock=wall_clock,
+            workers=self._live_workers,
         )
 
     def _build_peers(self) -> None:
@@ -217,6 +219,10 @@
             task_status=task_status,
         )
 
+    def _live_workers(self) -> list[model.WorkerSpec]:
+        """Return the workers that take new work, as far as this instance knows."""
+        return [item.spec for item in self.fleet.members.values() if not item.is_leaving]
+
     def _owns(self, worker: ids.WorkerId) -> bool:
         """Return whether this instance keeps the leases of a worker."""
         self._shares.set_members(self.members.live())
@@ -233,6 +239,8 @@
 
     def _on_bundle(self, adopted: holder.InForce) -> None:
         self.registry.replace(adopted.bundle.principal)
+        for item in self.routers.values():
+            item.set_floors(adopted.rules.urgency_floors)
         self.spread.offer(adopted.version, adopted.text)
         self.members.nudge()
         self.metrics.gauge("bundle.version", adopted.version)
@@ -265,6 +273,9 @@
             claims=book,
             instances=lambda: max(1, len(self.members.live())),
         )
+        rules = self.holder.rules()
+        if rules is not None:
+            added.set_floors(rules.urgency_floors)
         self.routers[service] = added
         self._nursery.start_soon(added.run)
 
--- a/src/bronzequay/route/admission.py
+++ b/src/bronzequay/route/admission.py
@@ -10,9 +10,10 @@
 from bronzequay.route import fair
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Mapping
 
     from bronzequay import ids
+    from bronzequay.policy import model as policy_model
     from bronzequay.route import model, slots
 
 RETRY_AFTER_S = 1.0
@@ -53,6 +54,10 @@
         self._table = table
         self._queue: fair.FairQueue[_Waiting] = fair.FairQueue()
 
+    def set_floors(self, floors: Mapping[policy_model.Urgency, float]) -> None:
+        """Change the share of slot time of each class."""
+        self._queue.set_floors(floors)
+
     def __len__(self) -> int:
         """Return the number of requests waiting."""
         return len(self._queue)
--- a/src/bronzequay/route/fair.py
+++ b/src/bronzequay/route/fair.py
@@ -107,6 +107,11 @@
         self._serial = itertools.count()
         self._size = 0
 
+    def set_floors(self, floors: Mapping[model.Urgency, float]) -> None:
+        """Change the share of slot time of each class."""
+        for urgency, tier in self._classes.items():
+            tier.floor = floors.get(urgency, 0.0)
+
     def __len__(self) -> int:
         """Return the number of requests waiting."""
         return self._size
--- a/src/bronzequay/route/router.py
+++ b/src/bronzequay/route/router.py
@@ -11,8 +11,9 @@
 from bronzequay.route import admission, attempts, budget, health, latency, model, probe, slots
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Sequence
+    from collections.abc import Callable, Collection, Mapping, Sequence
 
+    from bronzequay.policy import model as policy_model
     from bronzequay.route import ports
 
 RETRY_AFTER_S = 1.0
@@ -79,6 +80,10 @@
         self._table.note_doubt(executor)
         self._records.note_leaving(executor)
 
+    def set_floors(self, floors: Mapping[policy_model.Urgency, float]) -> None:
+        """Change the share of slot time that each class keeps under a flood of another."""
+        self._gate.set_floors(floors)
+
     async def send(self, req: model.Request) -> model.Response:
         """Run a request on an executor and return its whole answer.
 
--- a/tests/api/conftest.py
+++ b/tests/api/conftest.py
@@ -21,6 +21,17 @@
     from collections.abc import Sequence
 
 OPERATORS = "olga=operator:op-token,rafael=reviewer:rev-token,ana=analyst:ana-token"
+WORKERS = [
+    model.WorkerSpec(
+        worker=ids.WorkerId(f"w{number}"),
+        rack=ids.RackId("r0"),
+        data_centre=ids.DataCentreId("dc"),
+        accelerators=8,
+        cpu=32,
+        mem_gb=64,
+    )
+    for number in range(2)
+]
 SERVICE = ids.ServiceId("svc")
 
 
@@ -119,6 +130,7 @@
         dump=lambda: {"settings": {}},
         is_draining=lambda: False,
         wall_clock=lambda: 10.0,
+        workers=lambda: WORKERS,
     )
 
 
--- a/tests/route/test_fair.py
+++ b/tests/route/test_fair.py
@@ -194,3 +194,14 @@
                 assert order[flow].pop(0) == found.item
         assert sum(queue.size(urgency) for urgency in model.Urgency) == len(waiting)
     assert sorted(pop_all(queue)) == sorted(waiting)
+
+
+def test_changed_floors_take_effect_on_the_next_requests() -> None:
+    queue: fair.FairQueue[str] = fair.FairQueue()
+    queue.set_floors({model.Urgency.LOW: 0.5})
+    floors = {urgency: queue._classes[urgency].floor for urgency in model.Urgency}
+    assert floors == {
+        model.Urgency.LOW: 0.5,
+        model.Urgency.NORMAL: 0.0,
+        model.Urgency.URGENT: 0.0,
+    }
