--- a/src/bronzequay/policy/dispatch.py
+++ b/src/bronzequay/policy/dispatch.py
@@ -40,7 +40,8 @@
 MAX_MIGRATIONS = 4
 """Gangs for which others are being moved at once."""
 WALK_PERIOD_S = 15.0
-"""Shortest time between two walks that only time has given a reason for, in seconds."""
+"""Shortest time between two walks that only time has given a reason for, and between two that
+stop gangs for a better schedule alone, in seconds."""
 
 
 class Pass(msgspec.Struct):
@@ -48,11 +49,13 @@
 
     :param tried: jobs that an earlier pass found no place for
     :param tries: searches for free places left
+    :param may_improve: whether gangs may be stopped for a better schedule alone
     :param evicting_tries: searches for gangs to stop left, those for guarantees not counted
     """
 
     now_s: float
     tried: set[ids.JobId]
+    may_improve: bool
     tries: int = MAX_TRIES
     evicting_tries: int = MAX_EVICTING_TRIES
     skips: int = MAX_SKIPS
@@ -87,7 +90,7 @@
 
 def _try_fresh(state: states.State, now_s: float) -> Iterator[model.Command]:
     fresh, state.fresh = state.fresh, []
-    one = Pass(now_s, set())
+    one = Pass(now_s, set(), may_improve=True)
     for job in fresh:
         if job in state.queues.ranks and job not in state.claims:
             yield from _try(state, state.jobs[job], one)
@@ -97,8 +100,11 @@
     if not state.queues.ranks:
         return
     tried: set[ids.JobId] = set()
+    may_improve = now_s - state.improved_s >= WALK_PERIOD_S
+    if may_improve:
+        state.improved_s = now_s
     for urgencies, is_wanted in _passes(state):
-        one = Pass(now_s, tried)
+        one = Pass(now_s, tried, may_improve)
         for job in ordering.walk(state.queues, urgencies, is_wanted):
             one.skips -= 1
             if not one.tries or not one.skips:
@@ -221,7 +227,7 @@
 def _by_evicting(
     state: states.State, record: model.JobRecord, one: Pass
 ) -> Iterator[model.Command]:
-    for right in _rights(state, record, one.now_s):
+    for right in _rights(state, record, one):
         for share, plan in _ways(state, record, right.price):
             if right.is_guarantee != (share is model.Share.GUARANTEED):
                 continue
@@ -255,7 +261,8 @@
     return (right.name, share, need, record.spec.org, record.spec.caller, period)
 
 
-def _rights(state: states.State, record: model.JobRecord, now_s: float) -> Iterator[Right]:
+def _rights(state: states.State, record: model.JobRecord, one: Pass) -> Iterator[Right]:
+    now_s = one.now_s
     bound_s = preemption.CHECKPOINT_BOUND_S
     is_urgent = record.spec.urgency is model.Urgency.URGENT
     if is_urgent:
@@ -275,6 +282,14 @@
         yield Right("floor", price, bound_s)
     if is_under:
         yield Right("fair share", preemption.for_due(state, now_s), bound_s)
+    if one.may_improve:
+        yield from _improving_rights(state, record, now_s, bound_s)
+
+
+def _improving_rights(
+    state: states.State, record: model.JobRecord, now_s: float, bound_s: float
+) -> Iterator[Right]:
+    """Yield the rights that only make the schedule better, which cost the most searches."""
     if _claims_by(state, "shorter work") < MAX_SHORTER_CLAIMS:
         price = preemption.for_shorter(state, now_s, record)
         yield Right("shorter work", price, bound_s)
--- a/src/bronzequay/policy/state.py
+++ b/src/bronzequay/policy/state.py
@@ -54,6 +54,7 @@
     :param blocked: what found no room, with the value of ``fleet.freed`` at that time
     :param seen_freed: value of ``fleet.freed`` when the queue was last walked
     :param walked_s: when the whole queue was last walked
+    :param improved_s: when gangs were last stopped for a better schedule alone
     :param now_s: time of the last event
     """
 
@@ -76,6 +77,7 @@
     blocked: dict[tuple[object, ...], int] = msgspec.field(default_factory=dict)
     seen_freed: int = -1
     walked_s: float = 0.0
+    improved_s: float = 0.0
     now_s: float = 0.0
 
     @property
