--- a/src/bronzequay/store/listing.py
+++ b/src/bronzequay/store/listing.py
@@ -12,7 +12,7 @@
 
 LINE_BYTES = 130
 """Size of a line of the list, about."""
-MAX_BYTES_PER_S = 512.0
+MAX_BYTES_PER_S = 1024.0
 """Share of a node's 2 KB a second that the list may take."""
 MIN_INTERVAL_S = 1.0
 MAX_INTERVAL_S = 60.0
