--- a/src/bronzequay/cfg/rollout.py
+++ b/src/bronzequay/cfg/rollout.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable
 
 HEAD_KEY = "bundle/head"
-BLOCK_VERSIONS = 128
+BLOCK_VERSIONS = 32
 ABSENT = ids.Revision(0)
 
 
