--- a/src/bronzequay/api/app.py
+++ b/src/bronzequay/api/app.py
@@ -10,7 +10,7 @@
 from werkzeug import exceptions
 
 from bronzequay import codes, errors
-from bronzequay.api import admin, answers, jobs, reports, requests, sheet
+from bronzequay.api import admin, answers, jobs, openapi, reports, requests, sheet
 
 if TYPE_CHECKING:
     from bronzequay.api import services
@@ -36,6 +36,7 @@
     app.register_blueprint(admin.make_blueprint(deps))
     app.register_blueprint(reports.make_blueprint(deps))
     app.register_blueprint(sheet.make_blueprint(deps))
+    app.register_blueprint(openapi.make_blueprint())
     app.register_error_handler(errors.BronzequayError, _on_error)
     app.register_error_handler(exceptions.HTTPException, _on_http_error)
     app.register_error_handler(Exception, _on_bug)
