--- a/src/bronzequay/obs/report_html.py
+++ b/src/bronzequay/obs/report_html.py
@@ -5,6 +5,7 @@
 import collections
 import html
 import importlib
+import re
 import statistics
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
     from collections.abc import Iterable
 
 BUCKETS = 24
+SCRIPT = re.compile(r"<script.*?</script>", re.DOTALL)
 COLUMNS = ("Job", "For", "State", "Accepted", "Started", "Ended", "Bundle", "Workers", "Why")
 STYLE = (
     "body{font:1rem/1.5 sans-serif;margin:2rem;color:#222}table{border-collapse:collapse}"
@@ -60,7 +62,8 @@
     chart.x_labels = labels
     chart.add("all organisations", means)
     picture: str = chart.render(is_unicode=True, disable_xml_declaration=True)
-    return picture
+    # The library adds a script for tooltips; the report has to work without any.
+    return SCRIPT.sub("", picture)
 
 
 def completion_times(kept: report.Report) -> tuple[list[str], list[float]]:
