--- a/src/bronzequay/api/admin.py
+++ b/src/bronzequay/api/admin.py
@@ -1,4 +1,4 @@
-"""HTTP routes for operators: bundles, state dump, health."""
+"""HTTP routes for operators and the balancer: state dump and health."""
 
 from __future__ import annotations
 
@@ -9,8 +9,7 @@
 import quart
 
 from bronzequay import ids
-from bronzequay.api import answers, auth, bodies
-from bronzequay.cfg import rollout
+from bronzequay.api import answers, auth
 
 if TYPE_CHECKING:
     from bronzequay.api import services
@@ -28,7 +27,7 @@
 
 
 def make_blueprint(deps: services.Services) -> quart.Blueprint:
-    """Return the routes for operators.
+    """Return the routes for operators and the balancer.
 
     :param deps: what the routes work on
     """
@@ -45,54 +44,6 @@
         auth.require(deps.identify(quart.request), auth.Right.DUMP_STATE)
         return answers.json_answer(deps.dump())
 
-    @routes.get("/v1/bundles")
-    async def history() -> quart.Response:
-        auth.require(deps.identify(quart.request), auth.Right.READ_ALL)
-        return answers.json_answer({"versions": await rollout.read_history(deps.store)})
-
-    @routes.post("/v1/bundles")
-    async def submit_draft() -> quart.Response:
-        identity = deps.identify(quart.request)
-        auth.require(identity, auth.Right.EDIT_BUNDLE)
-        text = await answers.request_body()
-        draft = await rollout.submit_draft(
-            deps.store, text, author=identity.name, wall_clock=deps.wall_clock
-        )
-        return answers.json_answer(draft, status=HTTPStatus.CREATED)
-
-    @routes.get("/v1/bundles/<digest>")
-    async def show_draft(digest: str) -> quart.Response:
-        auth.require(deps.identify(quart.request), auth.Right.READ_ALL)
-        draft, _ = await rollout.read_draft(deps.store, digest)
-        return answers.json_answer(draft)
-
-    @routes.get("/v1/bundles/<digest>/text")
-    async def show_text(digest: str) -> quart.Response:
-        auth.require(deps.identify(quart.request), auth.Right.READ_ALL)
-        text = await rollout.read_body(deps.store, digest)
-        return quart.Response(text, content_type="application/toml")
-
-    @routes.post("/v1/bundles/<digest>/review")
-    async def request_review(digest: str) -> quart.Response:
-        identity = deps.identify(quart.request)
-        auth.require(identity, auth.Right.EDIT_BUNDLE)
-        draft = await rollout.request_review(deps.store, digest, operator=identity.name)
-        return answers.json_answer(draft)
-
-    @routes.post("/v1/bundles/<digest>/sign-off")
-    async def sign_off(digest: str) -> quart.Response:
-        identity = deps.identify(quart.request)
-        auth.require(identity, auth.Right.SIGN_OFF)
-        draft = await rollout.sign_off(deps.store, digest, operator=identity.name)
-        return answers.json_answer(draft)
-
-    @routes.post("/v1/bundles/roll-out")
-    async def roll_out() -> quart.Response:
-        auth.require(deps.identify(quart.request), auth.Right.ROLL_OUT)
-        body = answers.decode_json(await answers.request_body(), bodies.RollOutBody)
-        entry = await deps.roll_out(body.digest, expected=body.expected)
-        return answers.json_answer(entry)
-
     return routes
 
 
--- a/src/bronzequay/api/app.py
+++ b/src/bronzequay/api/app.py
@@ -10,7 +10,7 @@
 from werkzeug import exceptions
 
 from bronzequay import codes, errors
-from bronzequay.api import admin, answers, jobs, openapi, reports, requests, sheet
+from bronzequay.api import admin, answers, bundles, jobs, openapi, reports, requests, sheet
 
 if TYPE_CHECKING:
     from bronzequay.api import services
@@ -34,6 +34,7 @@
     app.config["MAX_CONTENT_LENGTH"] = MAX_BODY_BYTES
     app.register_blueprint(jobs.make_blueprint(deps))
     app.register_blueprint(admin.make_blueprint(deps))
+    app.register_blueprint(bundles.make_blueprint(deps))
     app.register_blueprint(reports.make_blueprint(deps))
     app.register_blueprint(sheet.make_blueprint(deps))
     app.register_blueprint(openapi.make_blueprint())
--- a/src/bronzequay/instance.py
+++ b/src/bronzequay/instance.py
@@ -15,7 +15,7 @@
 from bronzequay import ids
 from bronzequay.api import app as api_app
 from bronzequay.api import auth, drain, services
-from bronzequay.cfg import follow, holder, rollout
+from bronzequay.cfg import adoption, follow, holder, rollout
 from bronzequay.discovery import Discovery, ExecutorList
 from bronzequay.neighbours import Neighbours
 from bronzequay.obs import dump, metrics
@@ -77,6 +77,9 @@
                 reads_per_s=cfg.store_reads_per_s, writes_per_s=cfg.store_writes_per_s
             ),
         )
+        self.adoptions = adoption.Log(
+            store=self.store, instance=cfg.instance, wall_clock=wall_clock
+        )
         self._listing = listing.Listing(self.store)
         self._watch = watch.Watch(self.store, prefix=rollout.HEAD_KEY)
         self._build_peers()
@@ -165,6 +168,7 @@
             self.mesh.run,
             self.members.run,
             self.spread.run,
+            self.adoptions.run,
             self._watch.run,
             self.discovery.run,
             self.fleet.run,
@@ -243,6 +247,7 @@
             item.set_floors(adopted.rules.urgency_floors)
         self.spread.offer(adopted.version, adopted.text)
         self.members.nudge()
+        self.adoptions.note(adopted.version)
         self.metrics.gauge("bundle.version", adopted.version)
         _log.info("bundle_adopted", version=adopted.version)
 
