--- a/src/bronzequay/cfg/rollout.py
+++ b/src/bronzequay/cfg/rollout.py
@@ -20,7 +20,9 @@
     from collections.abc import Callable
 
 HEAD_KEY = "bundle/head"
-BLOCK_VERSIONS = 32
+BLOCK_VERSIONS = 8
+"""Versions a block; the head, which every instance polls, stays under twice as many."""
+MAX_HISTORY = 1000
 ABSENT = ids.Revision(0)
 
 
@@ -247,22 +249,28 @@
     return entries[BLOCK_VERSIONS:]
 
 
-async def read_history(store: Store) -> tuple[HeadEntry, ...]:
-    """Return every version ever rolled out, oldest first."""
+async def read_history(store: Store, *, limit: int = MAX_HISTORY) -> tuple[HeadEntry, ...]:
+    """Return the latest versions rolled out, oldest first.
+
+    :param limit: at most this many
+    """
     head, _ = await read_head(store)
     if head is None:
         return ()
-    older: list[HeadEntry] = []
-    for block in range(head.entries[0].version // BLOCK_VERSIONS):
+    found = list(head.entries)
+    block = head.entries[0].version // BLOCK_VERSIONS
+    while block and len(found) < limit:
+        block -= 1
         entry = await store.get(block_key(block), purpose=client.Purpose.BUNDLE)
         if entry is not None:
-            older.extend(msgspec.json.decode(entry.value, type=tuple[HeadEntry, ...]))
-    return (*older, *head.entries)
+            found = [*msgspec.json.decode(entry.value, type=tuple[HeadEntry, ...]), *found]
+    return tuple(found[-limit:])
 
 
 __all__ = [
     "BLOCK_VERSIONS",
     "HEAD_KEY",
+    "MAX_HISTORY",
     "Draft",
     "Head",
     "HeadEntry",
--- a/tests/cfg/test_rollout.py
+++ b/tests/cfg/test_rollout.py
@@ -94,6 +94,8 @@
         await roll_out(store, digest, version)
     history = await rollout.read_history(store)
     assert [item.version for item in history] == list(range(1, count + 1))
+    latest = await rollout.read_history(store, limit=10)
+    assert [item.version for item in latest] == list(range(count - 9, count + 1))
     head, _ = await rollout.read_head(store)
     assert head is not None
     assert len(head.entries) <= 2 * rollout.BLOCK_VERSIONS
