--- a/src/bronzequay/api/app.py
+++ b/src/bronzequay/api/app.py
@@ -38,16 +38,17 @@
     app.register_blueprint(reports.make_blueprint(deps))
     app.register_blueprint(sheet.make_blueprint(deps))
     app.register_blueprint(openapi.make_blueprint())
-    app.register_error_handler(errors.BronzequayError, _on_error)
+
+    async def on_error(exc: errors.BronzequayError) -> quart.Response:
+        deps.metrics.count(f"errors.{exc.code.name}")
+        return answers.error_answer(exc)
+
+    app.register_error_handler(errors.BronzequayError, on_error)
     app.register_error_handler(exceptions.HTTPException, _on_http_error)
     app.register_error_handler(Exception, _on_bug)
     return requests.make_app(deps, app)  # type: ignore[arg-type]
 
 
-async def _on_error(exc: errors.BronzequayError) -> quart.Response:
-    return answers.error_answer(exc)
-
-
 async def _on_http_error(exc: exceptions.HTTPException) -> quart.Response:
     code = HTTP_CODES.get(exc.code or 0, codes.ResultCode.MALFORMED_BODY)
     return answers.error_answer(errors.BronzequayError(code, exc.description or exc.name))
--- a/src/bronzequay/api/jobs.py
+++ b/src/bronzequay/api/jobs.py
@@ -46,6 +46,7 @@
         spec = body.to_spec()
         auth.require(identity, auth.Right.SUBMIT, org=spec.org)
         record = await deps.gateway.submit(spec, key=body.key)
+        deps.metrics.count(f"jobs.{record.state.value}")
         return answers.json_answer(record, status=HTTPStatus.ACCEPTED)
 
     @routes.get("")
--- a/src/bronzequay/api/requests.py
+++ b/src/bronzequay/api/requests.py
@@ -10,6 +10,8 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
+import trio
+
 from bronzequay import codes, errors, ids
 from bronzequay.api import answers, auth
 from bronzequay.policy import model
@@ -45,13 +47,18 @@
         if scope["type"] != "http" or not _is_request_path(scope["path"]):
             await fallback(scope, receive, send)
             return
+        began_s = trio.current_time()
+        code = codes.ResultCode.OK
         try:
             body, request_id = await _serve(deps, scope, receive)
             status, kind = HTTPStatus.OK, b"application/octet-stream"
             extra = [(b"x-request-id", request_id.encode())]
         except errors.BronzequayError as exc:
+            code = exc.code
             body, status = answers.error_body(exc), answers.status_of(exc.code)
             kind, extra = b"application/json", []
+        deps.metrics.count(f"requests.{code.name}")
+        deps.metrics.timing("requests.answer", trio.current_time() - began_s)
         headers = [
             (b"content-type", kind),
             (b"content-length", str(len(body)).encode()),
--- a/src/bronzequay/api/services.py
+++ b/src/bronzequay/api/services.py
@@ -16,6 +16,7 @@
 
     from bronzequay.api import auth
     from bronzequay.cfg import holder
+    from bronzequay.obs import metrics
     from bronzequay.policy import model
     from bronzequay.route import router
     from bronzequay.sched import gateway
@@ -29,6 +30,7 @@
     :param mesh_address: where the other instances reach this one
     :param routers: one for each known service
     :param dump: the state of this process
+    :param metrics: counts answers by their result code
     :param wall_clock: seconds since the Unix epoch
     :param workers: the workers that take new work
     """
@@ -42,6 +44,7 @@
     store: client.Store
     dump: Callable[[], Mapping[str, Any]]
     is_draining: Callable[[], bool]
+    metrics: metrics.Metrics
     wall_clock: Callable[[], float]
     workers: Callable[[], Sequence[model.WorkerSpec]]
 
--- a/src/bronzequay/instance.py
+++ b/src/bronzequay/instance.py
@@ -96,6 +96,7 @@
             store=self.store,
             dump=dump.make_dump(resolved=resolved, sections=self._sections()),
             is_draining=lambda: self._is_draining,
+            metrics=self.metrics,
             wall_clock=wall_clock,
             workers=self._live_workers,
         )
--- a/tests/api/conftest.py
+++ b/tests/api/conftest.py
@@ -11,6 +11,7 @@
 from bronzequay.cfg import holder
 from bronzequay.fakes import executor as executor_fake
 from bronzequay.fakes import platform, serve
+from bronzequay.obs import metrics
 from bronzequay.policy import model
 from bronzequay.route import claims, router
 from bronzequay.route import model as route_model
@@ -129,6 +130,7 @@
         store=store,
         dump=lambda: {"settings": {}},
         is_draining=lambda: False,
+        metrics=metrics.Metrics(),
         wall_clock=lambda: 10.0,
         workers=lambda: WORKERS,
     )
--- a/tests/api/test_requests.py
+++ b/tests/api/test_requests.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     import httpx
 
+    from bronzequay.api import services
+
 PATH = "/v1/services/svc/requests"
 CALLER = test_jobs.CALLER
 
@@ -62,3 +64,18 @@
     assert unknown.json()["code"] == codes.ResultCode.UNKNOWN_SERVICE.value
     wrong = await http.get(PATH, headers=CALLER)
     assert wrong.json()["code"] == codes.ResultCode.METHOD_NOT_ALLOWED.value
+
+
+async def test_answers_are_counted_by_their_result_code(
+    http: httpx.AsyncClient, deps: services.Services, autojump_clock: trio.testing.MockClock
+) -> None:
+    await http.post(PATH, content=b"x", headers=CALLER)
+    await http.post(PATH, content=b"x")
+    await http.get("/v1/jobs/none", headers=CALLER)
+    await http.post("/v1/jobs", json=test_jobs.GOOD, headers=CALLER)
+    counters = deps.metrics.counters
+    assert counters["requests.OK"] == 1
+    assert counters["requests.UNAUTHENTICATED"] == 1
+    assert counters["requests.answer.n"] == 2
+    assert counters["errors.UNKNOWN_JOB"] == 1
+    assert counters["jobs.accepted"] == 1
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -45,3 +45,8 @@
 def test_every_package_has_its_row() -> None:
     packages = {path.name for path in SOURCE.iterdir() if (path / "__init__.py").exists()}
     assert packages == set(ARROWS)
+
+
+def test_no_source_file_is_over_400_lines() -> None:
+    for path in sorted(SOURCE.rglob("*.py")):
+        assert len(path.read_text(encoding="utf-8").splitlines()) <= 400, path.name
