Advice, pacing and services that may miss few tasks

Now the core asks about 30 likely workers a step, one question at a time, keeps tickets until they run out and asks again; filling work begins at half speed beside serving work and follows listings of half a second; guaranteed work stops no more of a service than it may miss.

--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -8,7 +8,7 @@
 import trio
 
 from bronzequay import codes, errors
-from bronzequay.core import lifecycle, model
+from bronzequay.core import advice, lifecycle, model, pacing
 from bronzequay.platform import workers
 
 if TYPE_CHECKING:
@@ -82,6 +82,8 @@
                 async for command in self._receive:
                     if isinstance(command, model.Stop):
                         nursery.start_soon(self.stop, command)
+                    elif isinstance(command, model.Pace):
+                        nursery.start_soon(self._pace, command)
                     else:
                         nursery.start_soon(self._start, command)
         finally:
@@ -116,6 +118,14 @@
                 self._unanswered[name] = (trio.current_time(), command)
         self._term.post(lambda state: lifecycle.give_up(state, command))
 
+    async def _pace(self, command: model.Pace) -> None:
+        """Order a pace once; without an answer the next listing leads to another order."""
+        await self._term.wait_trusted()
+        reply = await self.calls.pace(command, timeout_s=TIMEOUT_S)
+        _check_epoch(reply.outcome, self._worker)
+        if reply.outcome is not workers.Outcome.OK:
+            self._term.post(lambda state: pacing.note_unpaced(state, command))
+
     def _on_answer(self, command: model.Start, outcome: workers.Outcome) -> None:
         is_retry = (command.key, command.run) in self._unanswered
         if outcome is workers.Outcome.OK:
@@ -140,7 +150,7 @@
         elif is_retry:
             self._term.post(lambda state: lifecycle.give_up(state, command))
         else:
-            self._term.post(lambda state: _refuse(state, command))
+            self._term.post(lambda state: _refuse(state, command, outcome))
 
     def _settle(self, command: model.Command) -> None:
         self._settled_s[(command.key, command.run)] = trio.current_time()
@@ -156,9 +166,11 @@
     lifecycle.end(state, start.worker, start.key, start.run, model.End.LOST)
 
 
-def _refuse(state: State, command: model.Start) -> None:
+def _refuse(state: State, command: model.Start, outcome: workers.Outcome) -> None:
     worker = state.workers.get(command.worker)
-    if worker is not None:
+    if outcome is workers.Outcome.NO_TICKET:
+        advice.drop_ticket(state, command)
+    elif worker is not None:
         worker.avoid_until_s = state.now_s + REFUSED_PAUSE_S
     lifecycle.end(state, command.worker, command.key, command.run, model.End.NEVER_RAN)
 
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -10,7 +10,7 @@
 
 from bronzequay import clock, codes, errors
 from bronzequay.control import delivery
-from bronzequay.core import evacuate, health, lifecycle, model
+from bronzequay.core import evacuate, health, lifecycle, model, pacing
 from bronzequay.platform import workers
 
 if TYPE_CHECKING:
@@ -23,6 +23,8 @@
 """Time after its last answer for which a worker counts as reached."""
 WAIT_S = 1.0
 """Longest wait for an end; the lease is renewed after each."""
+SHARED_WAIT_S = 0.5
+"""The same where filling and serving tasks work side by side; loads cover half a second."""
 CALL_TIMEOUT_S = 1.0
 """An answer takes a few milliseconds beyond the wait."""
 RETRY_S = 0.2
@@ -69,6 +71,7 @@
         self._answered_s = float("-inf")
         self._pending: tuple[workers.Listing, float] | None = None
         self._is_first_pending = False
+        self._is_shared = False
 
     @property
     def is_reached(self) -> bool:
@@ -140,7 +143,10 @@
         # A silent worker is only asked, so that its lease can lapse.
         deadline_ms = self._lease_end() if self.is_reached else None
         reply = await calls.hold(
-            seen=self._seen, deadline_ms=deadline_ms, wait_s=WAIT_S, timeout_s=CALL_TIMEOUT_S
+            seen=self._seen,
+            deadline_ms=deadline_ms,
+            wait_s=SHARED_WAIT_S if self._is_shared else WAIT_S,
+            timeout_s=CALL_TIMEOUT_S,
         )
         if deadline_ms is not None and reply.outcome not in _NOT_SENT:
             self._deadline_ms = max(self._deadline_ms, deadline_ms)
@@ -221,6 +227,8 @@
         _note_running(state, worker, listing.running)
         health.stop_stalled(state, worker)
         evacuate.leave(state, worker)
+        pacing.steer(state, worker)
+        self._is_shared = pacing.is_shared(state, worker)
         listed = {(each.key, each.run) for each in listing.running}
         if len(listing.ended) < MAX_LISTED:
             self._reconcile(state, worker, listed, sent_s, is_first=is_first)
@@ -256,6 +264,7 @@
         task = worker.tasks.get(run.key)
         if task is not None and task.run == run.run:
             health.note_progress(state, task, run.percent)
+            pacing.note_load(task, run.load)
             task.checkpoint = run.checkpoint or task.checkpoint
 
 
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -8,7 +8,7 @@
 import trio
 
 from bronzequay import clock, figures
-from bronzequay.control import intake, journal, roster, session
+from bronzequay.control import advisor, intake, journal, roster, session
 from bronzequay.core import lifecycle, model, schedule
 from bronzequay.core import state as states
 
@@ -35,15 +35,23 @@
 
     :param rules: the rules in force
     :param max_hold_s: longest lease that a worker gives its runs
+    :param advice_address: ``IP:PORT`` of the advice service, empty when there is none
     """
 
     def __init__(
-        self, store: Store, held: Held, rules: Callable[[], model.Rules], *, max_hold_s: float
+        self,
+        store: Store,
+        held: Held,
+        rules: Callable[[], model.Rules],
+        *,
+        max_hold_s: float,
+        advice_address: str = "",
     ) -> None:
         self.max_hold_s = max_hold_s
         self.roster = roster.Roster(store, self)
         self._held = held
         self._rules = rules
+        self._advisor = advisor.Advisor(advice_address, self)
         self._intake = intake.Intake(store, self)
         self._journal = journal.Journal(store, held.epoch)
         self._state = states.State(rules())
@@ -118,6 +126,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._intake.run)
             nursery.start_soon(self.roster.run)
+            nursery.start_soon(self._advisor.run)
             nursery.start_soon(self._tick)
             await self._decide()
 
@@ -138,6 +147,9 @@
             commands, self._state.commands = self._state.commands, []
             for command in commands:
                 self.roster.give(command)
+            questions, self._state.questions = self._state.questions, []
+            for question in questions:
+                self._advisor.put(question)
             for _, durable in posts:
                 durable.set()
 
--- a/src/bronzequay/core/lifecycle.py
+++ b/src/bronzequay/core/lifecycle.py
@@ -16,6 +16,8 @@
 
 PARTIAL_S = 1.0
 """Time in which the members of a gang end by themselves after one of them has."""
+WHOLE_PERCENT = 100.0
+"""Listed progress of a task without an end that is at work."""
 _CAUSES_OF_STOP = frozenset({model.End.LOST, model.End.NEVER_RAN})
 """Ends that the other members' workers do not learn of."""
 
@@ -50,7 +52,7 @@
 
 
 def _reopen(state: State, step: StepRun) -> None:
-    state.open[(step.job.spec.job, step.occurrence, step.number)] = step
+    state.open[step.key] = step
     state.is_changed = True
 
 
@@ -73,9 +75,10 @@
         task.worker = worker.spec.worker
         task.is_confirmed = False
         task.first_seen = task.last_seen = None
+        task.load, task.percent = 0.0, 100
         task.since_s = state.now_s
         hold(worker, step, task)
-        state.commands.append(model.Start(worker.spec.worker, task.key, task.run, task.checkpoint))
+        state.commands.append(_start_command(step, task, worker))
     job = step.job
     job.has_begun = True
     state.note(
@@ -91,6 +94,12 @@
     state.dirty.add(job.spec.job)
 
 
+def _start_command(step: StepRun, task: Task, worker: Worker) -> model.Start:
+    ticket = step.tickets.get(worker.spec.worker)
+    text = "" if ticket is None else ticket.text
+    return model.Start(worker.spec.worker, task.key, task.run, task.checkpoint, text)
+
+
 def _gang_checkpoint(step: StepRun) -> str:
     """Return the newest checkpoint of any member; it is valid for all."""
     return max((task.checkpoint for task in step.tasks), key=lambda text: (len(text), text))
@@ -123,6 +132,25 @@
     state.commands.append(model.Stop(task.worker, task.key, task.run))
 
 
+def may_miss_more(step: StepRun, missing: int = 0) -> bool:
+    """Return whether one more task at work may be stopped.
+
+    :param missing: tasks that are about to be stopped already
+    """
+    if not step.spec.is_endless:
+        return True
+    away = sum(not _is_at_work(task) for task in step.tasks)
+    return not step.spec.may_miss or away + missing < step.spec.may_miss
+
+
+def _is_at_work(task: Task) -> bool:
+    return (
+        task.phase is model.Phase.RUNNING
+        and task.last_seen is not None
+        and task.last_seen[1] >= WHOLE_PERCENT
+    )
+
+
 def give_up(state: State, command: model.Start) -> None:
     """Stop a run whose start was not answered, with the other members of its gang."""
     task, step = state.task_of(command.key), state.step_of(command.key)
@@ -228,7 +256,7 @@
 def _finish_step(state: State, step: StepRun) -> None:
     step.is_done = True
     job = step.job
-    state.open.pop((job.spec.job, step.occurrence, step.number), None)
+    state.open.pop(step.key, None)
     for task in step.tasks:
         if task.phase is model.Phase.WAITING:
             task.phase = model.Phase.DONE
@@ -252,7 +280,7 @@
     state.note("job_ended", job.spec.job, outcome=outcome.value)
     state.dirty.add(job.spec.job)
     for step in job.steps():
-        state.open.pop((job.spec.job, step.occurrence, step.number), None)
+        state.open.pop(step.key, None)
         if outcome is not model.JobState.COMPLETED:
             for task in step.placed:
                 stop(state, task)
@@ -330,6 +358,7 @@
     "give_up",
     "hold",
     "lose",
+    "may_miss_more",
     "open_due",
     "remove_worker",
     "retire",
--- a/src/bronzequay/core/model.py
+++ b/src/bronzequay/core/model.py
@@ -135,6 +135,14 @@
     number: int
 
 
+class StepKey(NamedTuple):
+    """Names a step of one occurrence of a job."""
+
+    job: ids.JobId
+    occurrence: int
+    step: int
+
+
 class Phase(enum.Enum):
     """Where a task is in its life."""
 
@@ -175,12 +183,16 @@
 
 
 class Start(msgspec.Struct, frozen=True):
-    """Start a run of a task on a worker."""
+    """Start a run of a task on a worker.
+
+    :param ticket: of the advice service, empty when the queue needs none
+    """
 
     worker: ids.WorkerId
     key: TaskKey
     run: int
     checkpoint: str
+    ticket: str = ""
 
 
 class Stop(msgspec.Struct, frozen=True):
@@ -191,22 +203,41 @@
     run: int
 
 
-Command = Start | Stop
+class Pace(msgspec.Struct, frozen=True):
+    """Let a run work at a share of its speed."""
+
+    worker: ids.WorkerId
+    key: TaskKey
+    run: int
+    percent: int
+
+
+class Ask(msgspec.Struct, frozen=True):
+    """Ask the advice service which workers may run a step."""
+
+    step: StepKey
+    workers: tuple[ids.WorkerId, ...]
+
+
+Command = Start | Stop | Pace
 
 __all__ = [
     "FINAL",
     "MAX_COUNT",
     "PLACED",
+    "Ask",
     "Command",
     "End",
     "JobSpec",
     "JobState",
+    "Pace",
     "Phase",
     "Queue",
     "Resources",
     "Rules",
     "Start",
     "Step",
+    "StepKey",
     "Stop",
     "TaskKey",
     "WorkerSpec",
--- a/src/bronzequay/core/place.py
+++ b/src/bronzequay/core/place.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from bronzequay.core import model
+from bronzequay.core import advice, model
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
@@ -67,8 +67,8 @@
             min((need.gpu for need in needs), default=0),
         )
 
-    def usable(self, step: StepRun) -> list[Worker]:
-        """Return the workers that may be given tasks of a step now."""
+    def fitting(self, step: StepRun) -> list[Worker]:
+        """Return the workers that may be given tasks of a step, with or without advice."""
         queue = self._state.queue_of(step.job)
         if queue is None:
             return []
@@ -77,6 +77,16 @@
             self._usable[name] = _usable(self._state, *name)
         return self._usable[name]
 
+    def usable(self, step: StepRun) -> list[Worker]:
+        """Return the workers that may be given tasks of a step now."""
+        return self._allowed(step, self.fitting(step))
+
+    def _allowed(self, step: StepRun, workers: list[Worker]) -> list[Worker]:
+        queue = self._state.queue_of(step.job)
+        if queue is None or not queue.has_advice:
+            return workers
+        return [worker for worker in workers if advice.may_run(self._state, step, worker)]
+
     def open(self, step: StepRun) -> list[Worker]:
         """Return those of them that had room for any waiting task."""
         queue = self._state.queue_of(step.job)
@@ -87,12 +97,12 @@
             least = self._least
             self._open[name] = [
                 worker
-                for worker in self.usable(step)
+                for worker in self.fitting(step)
                 if worker.gpu >= least.gpu
                 and worker.cpu >= least.cpu
                 and worker.mem_mb >= least.mem_mb
             ]
-        return self._open[name]
+        return self._allowed(step, self._open[name])
 
     def groups(self, step: StepRun) -> list[list[Worker]]:
         """Return the sets of workers one of which is to hold all of a gang.
@@ -101,7 +111,9 @@
         """
         if not step.spec.same_rack:
             return [self.usable(step)]
-        name = (step.job.spec.queue, step.spec.label, step.spec.need, step.spec.max_per_worker)
+        queue = self._state.queue_of(step.job)
+        own = step.key if queue is not None and queue.has_advice else step.job.spec.queue
+        name = (own, step.spec.label, step.spec.need, step.spec.max_per_worker)
         if name not in self._groups:
             racks = _racks(self.usable(step)).values()
             self._groups[name] = [(sum(_most(each, step) for each in rack), rack) for rack in racks]
--- a/src/bronzequay/core/preempt.py
+++ b/src/bronzequay/core/preempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 from bronzequay.core import lifecycle, model, order, place, reserve
@@ -24,8 +25,8 @@
 PATIENCE_S = 1.5
 """Time after which a claim whose room is not free is made anew."""
 _STOPPABLE = frozenset({model.Phase.STARTING, model.Phase.RUNNING})
-URGENT_FACTOR = 20.0
-"""Stopping urgent work loses its objective beside the work itself."""
+DEAR_FACTOR = 20.0
+"""Stopping urgent or serving work loses its objective beside the work itself."""
 
 
 def claim(
@@ -145,10 +146,14 @@
         room = self._rooms[name]
         trial = place.Room(room.cpu, room.mem_mb, room.gpu)
         victims: list[Task] = []
+        missing = collections.Counter(key[:3] for key in self._gone)
         cost = 0.0
         for lost, task, step in self._costs.of(self._group[name]):
             if task.key in self._gone:
                 continue
+            if not lifecycle.may_miss_more(step, missing[step.key]):
+                continue
+            missing[step.key] += 1
             trial.add(states.need_of(step.spec))
             victims.append(task)
             cost += lost
@@ -162,6 +167,8 @@
             step = self._state.step_of(victim.key)
             if step is None or victim.key in self._gone:
                 continue
+            if not lifecycle.may_miss_more(step, self._gone_of(step)):
+                continue
             self.cost += self._costs.loss(step, victim)
             for task in step.placed if step.spec.is_gang else [victim]:
                 self._gone.add(task.key)
@@ -169,6 +176,9 @@
                 if task.worker in self._rooms and not self._costs.is_ending(step, task):
                     self._free(task.worker, states.need_of(step.spec))
 
+    def _gone_of(self, step: StepRun) -> int:
+        return sum(key[:3] == step.key for key in self._gone)
+
     def _free(self, name: ids.WorkerId, need: model.Resources) -> None:
         self._rooms[name].add(need)
         self._fits[name] = self._fits_in(name, self._rooms[name])
@@ -230,7 +240,8 @@
         if step.spec.saves_progress:
             ran_s = min(ran_s, SAVE_S) + RESTORE_S
         total += cores * (ran_s + RESTORE_S)
-    return total * URGENT_FACTOR if order.is_urgent(state, step.job) else total
+    is_dear = step.spec.is_endless or order.is_urgent(state, step.job)
+    return total * DEAR_FACTOR if is_dear else total
 
 
 def work(step: StepRun) -> float:
--- a/src/bronzequay/core/schedule.py
+++ b/src/bronzequay/core/schedule.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from bronzequay.core import lifecycle, order, place, preempt, reserve
+from bronzequay.core import advice, lifecycle, order, place, preempt, reserve
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
@@ -45,6 +45,9 @@
         if not step.waiting:
             del state.open[key]
             continue
+        queue = state.queue_of(step.job)
+        if queue is not None and queue.has_advice:
+            advice.ask(state, step, view.fitting(step))
         claim = claims.get(key)
         if claim is None or not _may_wait(state, step, view, claim, ranks[key][0]):
             claim = _claim(state, step, ranks[key], view, guaranteed)
@@ -81,7 +84,9 @@
         return None
 
     def may_stop(other: StepRun) -> bool:
-        if other.job.spec.job in guaranteed or other.spec.is_endless:
+        if other.job.spec.job in guaranteed:
+            return False
+        if other.spec.is_endless and tier is not order.Tier.GUARANTEED:
             return False
         return tier is order.Tier.GUARANTEED or not order.is_urgent(state, other.job)
 
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from bronzequay.core import model
 
@@ -13,8 +13,6 @@
     from bronzequay.core import reserve
 
     Decision = tuple[str, ids.JobId | None, dict[str, Any]]
-    StepKey = tuple[ids.JobId, int, int]
-
 
 Seen = tuple[float, float]
 """When a run's progress was listed, and the percentage done."""
@@ -22,6 +20,13 @@
 """Shortest time over which a run's speed is measured."""
 
 
+class Ticket(NamedTuple):
+    """Permission of the advice service to run a step on a worker."""
+
+    text: str
+    until_s: float
+
+
 class Task:
     """One task of a step.
 
@@ -31,6 +36,8 @@
     :ivar first_seen: of the present run
     :ivar last_seen: of the present run
     :ivar moved_s: when the present run was last seen to make progress
+    :ivar load: tail of response times in ms of a serving task, else cpu in use
+    :ivar percent: share of its speed that the run was told to work at, None when not known
     """
 
     __slots__ = (
@@ -40,7 +47,9 @@
         "is_confirmed",
         "key",
         "last_seen",
+        "load",
         "moved_s",
+        "percent",
         "phase",
         "run",
         "since_s",
@@ -59,6 +68,8 @@
         self.first_seen: Seen | None = None
         self.last_seen: Seen | None = None
         self.moved_s = 0.0
+        self.load = 0.0
+        self.percent: int | None = 100
 
 
 def rest_s(step: StepRun, task: Task, now_s: float) -> float:
@@ -86,6 +97,9 @@
     :ivar failed_on: machines on which a task has failed
     :ivar no_claim_until_s: when room may be searched for again
     :ivar ready_s: when its turn came
+    :ivar tickets: by worker, where the queue needs them
+    :ivar barred: workers that the advice service does not allow
+    :ivar is_asking: whether a question to it is not answered yet
     """
 
     def __init__(self, job: Job, occurrence: int, number: int) -> None:
@@ -104,6 +118,15 @@
         self.ready_s: float | None = None
         self.failed_on: set[str] = set()
         self.no_claim_until_s = 0.0
+        self.tickets: dict[ids.WorkerId, Ticket] = {}
+        self.barred: set[ids.WorkerId] = set()
+        self.is_asking = False
+        self.no_question_until_s = 0.0
+
+    @property
+    def key(self) -> model.StepKey:
+        """Return the step's name."""
+        return model.StepKey(self.job.spec.job, self.occurrence, self.number)
 
     @property
     def waiting(self) -> list[Task]:
@@ -174,6 +197,7 @@
     :ivar pauses: times without work since one was last done
     :ivar is_ready: its runs are known, so that it can be given more
     :ivar strays: runs that no task accounts for and that were told to stop
+    :ivar fill_percent: share of speed of its filling tasks, None without serving tasks beside
     """
 
     def __init__(self, spec: model.WorkerSpec) -> None:
@@ -189,6 +213,7 @@
         self.avoid_until_s = 0.0
         self.failed_jobs: set[ids.JobId] = set()
         self.pauses = 0
+        self.fill_percent: int | None = None
 
 
 class State:
@@ -202,6 +227,7 @@
     :ivar absent: tasks placed on workers that are not known
     :ivar dirty: jobs whose record changed
     :ivar ended: jobs that were retired in this term, and when
+    :ivar questions: for the advice service
     :ivar decisions: for the log, in the order in which they were taken
     :ivar retired: jobs that ended and have nothing placed any more
     """
@@ -213,21 +239,22 @@
         self.is_changed = True
         self.jobs: dict[ids.JobId, Job] = {}
         self.workers: dict[ids.WorkerId, Worker] = {}
-        self.open: dict[StepKey, StepRun] = {}
-        self.claims: dict[StepKey, reserve.Claim] = {}
+        self.open: dict[model.StepKey, StepRun] = {}
+        self.claims: dict[model.StepKey, reserve.Claim] = {}
         self.absent: dict[ids.WorkerId, dict[model.TaskKey, Task]] = {}
         self.dirty: set[ids.JobId] = set()
         self.retired: list[Job] = []
         self.ended: dict[ids.JobId, float] = {}
         self.commands: list[model.Command] = []
+        self.questions: list[model.Ask] = []
         self.decisions: list[Decision] = []
 
     def note(self, event: str, job: ids.JobId | None, **inputs: Any) -> None:
         """Keep a decision for the log."""
         self.decisions.append((event, job, inputs))
 
-    def step_of(self, key: model.TaskKey) -> StepRun | None:
-        """Return the step that a task belongs to, if it is open."""
+    def step_of(self, key: model.TaskKey | model.StepKey) -> StepRun | None:
+        """Return a step, or the step that a task belongs to, if it is open."""
         job = self.jobs.get(key.job)
         occurrence = None if job is None else job.occurrences.get(key.occurrence)
         if occurrence is None or key.step >= len(occurrence.steps):
@@ -251,4 +278,15 @@
     return step.need
 
 
-__all__ = ["Job", "Occurrence", "State", "StepRun", "Task", "Worker", "need_of", "rest_s", "speed"]
+__all__ = [
+    "Job",
+    "Occurrence",
+    "State",
+    "StepRun",
+    "Task",
+    "Ticket",
+    "Worker",
+    "need_of",
+    "rest_s",
+    "speed",
+]
--- a/src/bronzequay/fakes/executors.py
+++ b/src/bronzequay/fakes/executors.py
@@ -28,12 +28,18 @@
     :param gang: members of the gang, 0 for a task on its own
     :param fails: runs that end as failed before one succeeds
     :param saves: whether it writes checkpoints
+    :param lasts: whether it runs without an end
+    :param tail_ms: tail of its response times when nothing disturbs it, 0 if it does not serve
+    :param disturbs: what it adds to the tails beside it at full speed, as a share of them
     """
 
     run_s: float = 1.0
     gang: int = 0
     fails: int = 0
     saves: bool = False
+    lasts: bool = False
+    tail_ms: float = 0.0
+    disturbs: float = 0.0
 
 
 class Run:
@@ -47,6 +53,7 @@
         self.arrived_s = now_s
         self.begun_s: float | None = None
         self.stopping_s: float | None = None
+        self.percent = 100
 
     def worked_s(self, now_s: float) -> float:
         """Return the work done, in seconds."""
@@ -64,12 +71,14 @@
     """What executors share: gangs, and a record of all starts and ends for the checks.
 
     :param store: where executors are listed
+    :ivar tickets: by step and executor, None where starts need none
     """
 
     def __init__(self, store: kv.Kv) -> None:
         self.store = store
         self.executors: dict[str, Executor] = {}
         self.log: list[tuple[float, str, str, str, int]] = []
+        self.tickets: dict[tuple[str, str], str] | None = None
 
     def note(self, event: str, executor: str, task: str, run: int) -> None:
         """Record a start or an end."""
@@ -199,7 +208,7 @@
                     self.end(run, "stopped")
             elif run.begun_s is None:
                 self._begin_gang(run, now_s)
-            elif not self.stall and run.worked_s(now_s) >= run.plan.run_s:
+            elif not self.stall and not run.plan.lasts and run.worked_s(now_s) >= run.plan.run_s:
                 self._finish(run)
 
     def _begin_gang(self, run: Run, now_s: float) -> None:
@@ -264,15 +273,18 @@
         if body.get("fencingToken", 0) < self.epoch:
             return self._refuse("fence")
         self.epoch = max(self.epoch, body.get("fencingToken", 0))
-        if req.path == "/run-start":
-            return self._start(body)
-        if req.path == "/run-stop":
-            return self._stop(body)
-        if req.path == "/hold":
-            self._extend(body.get("deadlineMs"))
-            self._forget(body.get("observed", 0))
-            return self._listing()
-        return server.Answer(404)
+        calls = {
+            "/run-start": self._start,
+            "/run-stop": self._stop,
+            "/pace": self._pace,
+            "/hold": self._hold,
+        }
+        return calls[req.path](body) if req.path in calls else server.Answer(404)
+
+    def _hold(self, body: dict[str, Any]) -> server.Answer:
+        self._extend(body.get("deadlineMs"))
+        self._forget(body.get("observed", 0))
+        return self._listing()
 
     def _forget(self, seen: int) -> None:
         """Forget ends that were taken note of; those before a lapse of the lease do not count."""
@@ -293,6 +305,10 @@
             return self._ok()
         if run <= self.barred.get(task, 0) or task in self.runs:
             return self._refuse("old")
+        step = task.rpartition(".")[0]
+        tickets = self.world.tickets
+        if tickets is not None and tickets.get((step, self.name)) != body.get("ticket"):
+            return self._refuse("ticket")
         plan = msgspec.json.decode(body["spec"] or b"{}", type=Plan)
         saved = body.get("checkpointed", "")
         now_s = trio.current_time()
@@ -311,6 +327,19 @@
             found.stopping_s = trio.current_time() + STOP_S
         return self._ok()
 
+    def _pace(self, body: dict[str, Any]) -> server.Answer:
+        found = self.runs.get(body["task"])
+        if found is None or found.run != body["run"]:
+            return self._refuse("old")
+        found.percent = body["percent"]
+        return self._ok()
+
+    def tail_ms(self, run: Run) -> float:
+        """Return the tail of a serving task's response times."""
+        others = (other for other in self.runs.values() if other is not run)
+        disturbance = sum(other.plan.disturbs * other.percent / 100 for other in others)
+        return run.plan.tail_ms * (1 + disturbance)
+
     def _extend(self, deadline_ms: float | None) -> None:
         if deadline_ms is not None:
             most_ms = self.clock_ms + MAX_HOLD_MS
@@ -326,8 +355,8 @@
                 run.task,
                 run.run,
                 run.checkpoint(now_s),
-                min(99, int(100 * run.worked_s(now_s) / run.plan.run_s)) if run.begun_s else 0,
-                0,
+                self._percent(run, now_s),
+                round(self.tail_ms(run)),
             ]
             for run in self.runs.values()
         ]
@@ -339,6 +368,13 @@
         }
         return server.Answer(200, msgspec.json.encode(body))
 
+    def _percent(self, run: Run, now_s: float) -> int:
+        if run.begun_s is None:
+            return 0
+        if run.plan.lasts:
+            return 100
+        return min(99, int(100 * run.worked_s(now_s) / run.plan.run_s))
+
     def _ok(self) -> server.Answer:
         return server.Answer(200, msgspec.json.encode({"clockMs": int(self.clock_ms)}))
 
--- a/src/bronzequay/node.py
+++ b/src/bronzequay/node.py
@@ -107,7 +107,13 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(lease.keep, self._store, held)
-                current = term.Term(self._store, held, self._rules, max_hold_s=self._cfg.max_hold_s)
+                current = term.Term(
+                    self._store,
+                    held,
+                    self._rules,
+                    max_hold_s=self._cfg.max_hold_s,
+                    advice_address=self._cfg.advice_address,
+                )
                 await current.run()
         except* errors.BronzequayError as group:
             _log.warning("term_ended", epoch=held.epoch, reason=str(_first(group)))
--- a/src/bronzequay/platform/workers.py
+++ b/src/bronzequay/platform/workers.py
@@ -183,6 +183,11 @@
     return f"{key.job}.{key.occurrence}.{key.step}.{key.number}"
 
 
+def step_name(key: model.StepKey) -> str:
+    """Encode a step's name."""
+    return f"{key.job}.{key.occurrence}.{key.step}"
+
+
 def decode_task(name: str) -> model.TaskKey:
     """Decode a task's name.
 
@@ -211,7 +216,6 @@
         *,
         payload: str,
         deadline_ms: float,
-        ticket: str = "",
         timeout_s: float,
     ) -> Reply:
         """Start a run.
@@ -227,8 +231,8 @@
         }
         if command.checkpoint:
             body["checkpointed"] = command.checkpoint
-        if ticket:
-            body["ticket"] = ticket
+        if command.ticket:
+            body["ticket"] = command.ticket
         return await self._order("/run-start", body, timeout_s)
 
     async def stop(self, command: model.Stop, *, timeout_s: float) -> Reply:
@@ -240,12 +244,12 @@
         }
         return await self._order("/run-stop", body, timeout_s)
 
-    async def pace(self, key: model.TaskKey, run: int, *, percent: int, timeout_s: float) -> Reply:
+    async def pace(self, command: model.Pace, *, timeout_s: float) -> Reply:
         """Let a run work at a share of its speed."""
         body = {
-            "task": task_name(key),
-            "run": run,
-            "percent": percent,
+            "task": task_name(command.key),
+            "run": command.run,
+            "percent": command.percent,
             "fencingToken": self._epoch,
         }
         return await self._order("/pace", body, timeout_s)
@@ -348,6 +352,7 @@
     "decode_task",
     "executor_in",
     "executor_of",
+    "step_name",
     "task_name",
     "worker_id",
 ]
--- a/tests/control/site.py
+++ b/tests/control/site.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import trio
@@ -11,7 +11,7 @@
 from bronzequay import errors, ids
 from bronzequay.control import keys, lease, term
 from bronzequay.core import model
-from bronzequay.fakes import executors, kv
+from bronzequay.fakes import advice, executors, kv
 from bronzequay.front import follow, handler
 from bronzequay.net import server
 from bronzequay.platform import config
@@ -24,7 +24,7 @@
     import pytest
 
 STORE = "10.0.0.1:80"
-CONFIG = {
+CONFIG: dict[str, Any] = {
     "version": 1,
     "routes": [
         {"name": f"q{priority}", "host": "h", "prefix": f"/q{priority}/", "service": "service",
@@ -54,6 +54,7 @@
         self.configure(CONFIG)
         nursery.start_soon(self.kv.run)
         nursery.start_soon(self.world.run)
+        self.advice_address = ""
         self.scopes: dict[str, trio.CancelScope] = {}
         self.frozen: dict[str, trio.Event] = {}
         self._jobs = 0
@@ -81,6 +82,15 @@
         executor.list_entry()
         self.network.hosts[executor.address] = executor.handle
 
+    def add_advice(self, allowed: set[str]) -> advice.Advice:
+        """Have every queue's policy kept by an advice service."""
+        routes = [{**route, "advice": {"decideMs": 50}} for route in CONFIG["routes"]]
+        self.configure({**CONFIG, "version": 2, "routes": routes})
+        made = advice.Advice(self.world, allowed)
+        self.advice_address = "10.0.0.2:80"
+        self.network.hosts[self.advice_address] = made.handle
+        return made
+
     def start_scheduler(self, name: str) -> None:
         """Run an instance's campaign and terms until ``kill``."""
         self.nursery.start_soon(self._schedule, name)
@@ -100,7 +110,13 @@
                 try:
                     async with trio.open_nursery() as nursery:
                         nursery.start_soon(lease.keep, store, held)
-                        current = term.Term(store, held, lambda: found.rules, max_hold_s=10.0)
+                        current = term.Term(
+                            store,
+                            held,
+                            lambda: found.rules,
+                            max_hold_s=10.0,
+                            advice_address=self.advice_address,
+                        )
                         await current.run()
                 except* errors.BronzequayError:
                     pass
--- /dev/null
+++ b/tests/control/test_pacing.py
@@ -0,0 +1,68 @@
+"""Filling work beside work that serves."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+from bronzequay.core import model
+from bronzequay.fakes import executors
+from tests.control.site import ONE
+
+if TYPE_CHECKING:
+    from trio.testing import MockClock
+
+    from tests.control.site import Site
+
+HARM_S = 4.0
+TARGET_S = 0.1
+SERVING = model.Step(need=ONE, is_endless=True, target_s=TARGET_S)
+FILLING = model.Step(count=2, need=ONE, is_endless=True, is_filler=True)
+
+
+@pytest.mark.parametrize("disturbs", [0.2, 0.6, 3.0])
+async def test_serving_work_is_not_over_its_target_for_long(
+    autojump_clock: MockClock, site: Site, disturbs: float
+) -> None:
+    executor = site.add_executor(1)
+    site.start_scheduler("a")
+    site.submit(SERVING, plan=executors.Plan(lasts=True, tail_ms=60.0))
+    await site.wait_until(lambda: executor.runs)
+    site.submit(FILLING, plan=executors.Plan(lasts=True, disturbs=disturbs))
+    await site.wait_until(lambda: len(executor.runs) == 3)
+    serving = next(run for run in executor.runs.values() if run.plan.tail_ms)
+    over_s = trio.current_time()
+    for _ in range(600):
+        await trio.sleep(0.1)
+        if executor.tail_ms(serving) <= TARGET_S * 1000:
+            over_s = trio.current_time()
+        assert trio.current_time() - over_s < HARM_S
+
+
+async def test_filling_work_gets_what_serving_work_leaves(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    executor = site.add_executor(1)
+    site.start_scheduler("a")
+    site.submit(SERVING, plan=executors.Plan(lasts=True, tail_ms=20.0))
+    await site.wait_until(lambda: executor.runs)
+    site.submit(FILLING, plan=executors.Plan(lasts=True, disturbs=0.5))
+    await trio.sleep(15.0)
+    assert [run.percent for run in executor.runs.values()] == [100, 100, 100]
+
+
+async def test_an_unanswered_order_for_a_pace_is_given_again(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    executor = site.add_executor(1)
+    site.start_scheduler("a")
+    site.submit(SERVING, plan=executors.Plan(lasts=True, tail_ms=60.0))
+    await site.wait_until(lambda: executor.runs)
+    executor.answer_lost["/pace"] = 4
+    executor.late_s = 60.0
+    site.submit(FILLING, plan=executors.Plan(lasts=True, disturbs=3.0))
+    await trio.sleep(HARM_S)
+    serving = next(run for run in executor.runs.values() if run.plan.tail_ms)
+    assert executor.tail_ms(serving) <= TARGET_S * 1000
--- a/tests/core/test_schedule.py
+++ b/tests/core/test_schedule.py
@@ -214,3 +214,39 @@
         if any(each.key.job == "9".zfill(16) for each in starts(commands)):
             return
     pytest.fail("not begun 2.6 s after it was accepted; 3.4 s are promised")
+
+
+def serving(state: states.State, step: model.Step) -> None:
+    lifecycle.accept(state, world.job(1, step))
+    begun = decided(state)
+    confirm_all(state, begun)
+    for each in starts(begun):
+        task = state.task_of(each.key)
+        assert task is not None
+        task.last_seen = (0.0, 100.0)
+
+
+@pytest.mark.parametrize(("may_miss", "stopped"), [(0, 2), (1, 0), (2, 2)])
+def test_guaranteed_work_stops_no_more_of_a_service_than_it_may_miss(
+    may_miss: int, stopped: int
+) -> None:
+    state = ready(2)
+    serving(state, world.step(4, gpu=4, is_endless=True, may_miss=may_miss))
+    lifecycle.accept(state, world.job(2, world.step(1, gpu=8), priority=0, org="small"))
+    assert len(stops(decided(state, 2.0))) == stopped
+
+
+def test_a_service_is_not_stopped_for_work_that_is_not_guaranteed() -> None:
+    state = ready(1)
+    serving(state, world.step(2, gpu=4, is_endless=True))
+    lifecycle.accept(state, world.job(2, world.step(1, gpu=8), priority=0, org="none"))
+    assert stops(decided(state, 2.0)) == []
+
+
+def test_a_task_of_a_service_that_is_away_counts_against_what_it_may_miss() -> None:
+    state = ready(1)
+    serving(state, world.step(2, gpu=4, is_endless=True, may_miss=1))
+    task = next(iter(state.workers[ids.WorkerId("w0@1")].tasks.values()))
+    task.last_seen = (0.0, 40.0)
+    lifecycle.accept(state, world.job(2, world.step(1, gpu=4), priority=0, org="small"))
+    assert [each.key for each in stops(decided(state, 2.0))] == []
