Waves of upkeep: machines go down in time, never more than allowed

Cause: the operator's waves (`op/wave/N`) were not read, so every wave was late. The core takes machines without work first and empties others once time is short, stopping no more of a service than it may miss; what was ordered is durable before the order, so the next scheduler orders the same machines again (the platform answers an order that was carried out) and counts them as down. A new term gives no orders for 3 s (`leaseMs`), so that holders do not alternate. Proved over a stand-in: time, cap, a killed scheduler, a lost answer, an unknown machine. Not built: machines out of spare pools.

--- a/src/bronzequay/control/journal.py
+++ b/src/bronzequay/control/journal.py
@@ -11,11 +11,12 @@
 from bronzequay import codes, errors, ids
 from bronzequay.control import keys
 from bronzequay.core import records
-from bronzequay.platform import kv
+from bronzequay.platform import kv, machines
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from bronzequay.core import upkeep
     from bronzequay.core.state import Job, State
     from bronzequay.platform.kv import Store
 
@@ -100,6 +101,8 @@
         changes = [self._of_job(state.jobs[name], state.wall_s) for name in sorted(state.dirty)]
         changes += [self._of_retired(job, state.wall_s) for job in state.retired]
         changes += [Change(deletes=[keys.cancel(name)]) for name in stray_cancels]
+        changes += [_of_wave(state.waves[number]) for number in sorted(state.dirty_waves)]
+        state.dirty_waves.clear()
         state.dirty.clear()
         state.retired.clear()
         batch = Change([], [])
@@ -162,6 +165,16 @@
         self._head = head
 
 
+def _of_wave(wave: upkeep.Wave) -> Change:
+    status = machines.encode_status(wave.number, is_done=wave.is_done)
+    return Change(
+        [
+            kv.Put(keys.wave(wave.number), msgspec.msgpack.encode(wave)),
+            kv.Put(machines.status_key(wave.number), status),
+        ]
+    )
+
+
 def _own_rev(conflict: kv.Conflict, value: bytes) -> ids.Revision:
     """Return the head's revision if an earlier try of the same write took effect."""
     for item in conflict.items:
--- a/src/bronzequay/control/keys.py
+++ b/src/bronzequay/control/keys.py
@@ -17,6 +17,7 @@
 WAITING = INBOX + "waiting/"
 STATES = ROOT + "state/"
 PROGRESS = ROOT + "run/"
+WAVES = ROOT + "wave/"
 
 
 class Status(msgspec.Struct, frozen=True, array_like=True):
@@ -61,6 +62,11 @@
     return PROGRESS + name
 
 
+def wave(number: int) -> str:
+    """Return the key of a wave's progress."""
+    return f"{WAVES}{number}"
+
+
 def name_in(key: str) -> ids.JobId:
     """Return the job that a key belongs to."""
     return ids.JobId(key.rpartition("/")[2])
@@ -75,6 +81,7 @@
     "PROGRESS",
     "STATES",
     "WAITING",
+    "WAVES",
     "Status",
     "cancel",
     "job",
@@ -83,4 +90,5 @@
     "state",
     "waiting",
     "waiting_in",
+    "wave",
 ]
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -8,7 +8,7 @@
 import trio
 
 from bronzequay import clock, figures
-from bronzequay.control import advisor, intake, journal, roster, session
+from bronzequay.control import advisor, intake, journal, roster, session, upkeep
 from bronzequay.core import lifecycle, model, schedule
 from bronzequay.core import state as states
 
@@ -17,6 +17,7 @@
 
     from bronzequay import ids
     from bronzequay.control.lease import Held
+    from bronzequay.platform import machines
     from bronzequay.platform.kv import Store
 
     Change = Callable[[states.State], None]
@@ -36,6 +37,8 @@
     :param rules: the rules in force
     :param max_hold_s: longest lease that a worker gives its runs
     :param advice_address: ``IP:PORT`` of the advice service, empty when there is none
+    :param machine_calls: orders for machines, None where there are none
+    :param quiet_s: time from the beginning for which none are given
     """
 
     def __init__(
@@ -46,12 +49,15 @@
         *,
         max_hold_s: float,
         advice_address: str = "",
+        machine_calls: machines.Machines | None = None,
+        quiet_s: float = 0.0,
     ) -> None:
         self.max_hold_s = max_hold_s
         self.roster = roster.Roster(store, self)
         self._held = held
         self._rules = rules
         self._advisor = advisor.Advisor(advice_address, self)
+        self._upkeep = upkeep.Upkeep(store, self, machine_calls, quiet_s=quiet_s)
         self._intake = intake.Intake(store, self)
         self._journal = journal.Journal(store, held.epoch)
         self._state = states.State(rules())
@@ -121,12 +127,14 @@
         """
         self._read_clocks()
         await self._journal.take_over()
+        await self._upkeep.load(self._state)
         await self._intake.load(self._state, self._journal)
         _log.info("term_began", epoch=self.epoch, jobs=len(self._state.jobs))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._intake.run)
             nursery.start_soon(self.roster.run)
             nursery.start_soon(self._advisor.run)
+            nursery.start_soon(self._upkeep.run)
             nursery.start_soon(self._tick)
             await self._decide()
 
@@ -147,6 +155,9 @@
             commands, self._state.commands = self._state.commands, []
             for command in commands:
                 self.roster.give(command)
+            upkeeps, self._state.upkeeps = self._state.upkeeps, []
+            for order in upkeeps:
+                self._upkeep.give(order)
             questions, self._state.questions = self._state.questions, []
             for question in questions:
                 self._advisor.put(question)
--- a/src/bronzequay/core/model.py
+++ b/src/bronzequay/core/model.py
@@ -123,7 +123,7 @@
     capacity: Resources
     labels: tuple[str, ...] = ()
     rack: str = ""
-    machine: str = ""
+    machine: ids.MachineId = ids.MachineId("")
 
 
 class TaskKey(NamedTuple):
@@ -212,6 +212,13 @@
     percent: int
 
 
+class Upkeep(msgspec.Struct, frozen=True):
+    """Take a machine down for its upkeep in a wave."""
+
+    machine: ids.MachineId
+    wave: int
+
+
 class Ask(msgspec.Struct, frozen=True):
     """Ask the advice service which workers may run a step."""
 
@@ -240,5 +247,6 @@
     "StepKey",
     "Stop",
     "TaskKey",
+    "Upkeep",
     "WorkerSpec",
 ]
--- a/src/bronzequay/core/place.py
+++ b/src/bronzequay/core/place.py
@@ -141,6 +141,7 @@
         for worker in state.workers.values()
         if worker.is_ready
         and not worker.is_draining
+        and not worker.is_withheld
         and not worker.strays
         and worker.spec.service == service
         and (not label or label in worker.spec.labels)
--- a/src/bronzequay/core/schedule.py
+++ b/src/bronzequay/core/schedule.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from bronzequay.core import advice, lifecycle, order, place, preempt, reserve
+from bronzequay.core import advice, lifecycle, order, place, preempt, reserve, upkeep
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
@@ -33,6 +33,7 @@
         if job.next_occurrence < job.times and not job.is_final:
             lifecycle.open_due(state, job)
     lifecycle.stop_partial(state)
+    upkeep.run(state)
     guaranteed = order.guaranteed_jobs(state)
     ranks = {key: order.rank(state, step, guaranteed) for key, step in state.open.items()}
     view = place.View(state)
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -10,7 +10,7 @@
     from collections.abc import Iterator
 
     from bronzequay import ids
-    from bronzequay.core import reserve
+    from bronzequay.core import reserve, upkeep
 
     Decision = tuple[str, ids.JobId | None, dict[str, Any]]
 
@@ -197,6 +197,7 @@
     :ivar pauses: times without work since one was last done
     :ivar is_ready: its runs are known, so that it can be given more
     :ivar strays: runs that no task accounts for and that were told to stop
+    :ivar is_withheld: it is the next of a wave of upkeep
     :ivar fill_percent: share of speed of its filling tasks, None without serving tasks beside
     """
 
@@ -209,6 +210,7 @@
         self.strays: set[tuple[model.TaskKey, int]] = set()
         self.is_ready = False
         self.is_draining = False
+        self.is_withheld = False
         self.leaves_s: float | None = None
         self.avoid_until_s = 0.0
         self.failed_jobs: set[ids.JobId] = set()
@@ -228,6 +230,8 @@
     :ivar dirty: jobs whose record changed
     :ivar ended: jobs that were retired in this term, and when
     :ivar questions: for the advice service
+    :ivar upkeeps: orders for machines
+    :ivar dirty_waves: waves whose record changed
     :ivar decisions: for the log, in the order in which they were taken
     :ivar retired: jobs that ended and have nothing placed any more
     """
@@ -247,6 +251,9 @@
         self.ended: dict[ids.JobId, float] = {}
         self.commands: list[model.Command] = []
         self.questions: list[model.Ask] = []
+        self.upkeeps: list[model.Upkeep] = []
+        self.waves: dict[int, upkeep.Wave] = {}
+        self.dirty_waves: set[int] = set()
         self.decisions: list[Decision] = []
 
     def note(self, event: str, job: ids.JobId | None, **inputs: Any) -> None:
--- a/src/bronzequay/fakes/executors.py
+++ b/src/bronzequay/fakes/executors.py
@@ -135,6 +135,7 @@
     ) -> None:
         self.world = world
         self.name = name
+        self.machine = f"m-{name}"
         self.address = address
         self.service = service
         self.labels = ["a", rack]
@@ -184,6 +185,7 @@
             "capacity": self.capacity,
             "labels": self.labels,
             "born": self.born_ms,
+            "machine": self.machine,
         }
         self.world.store.put(f"servers/{self.name}", msgspec.json.encode(entry))
 
--- a/src/bronzequay/node.py
+++ b/src/bronzequay/node.py
@@ -14,9 +14,10 @@
 from bronzequay.front import follow, handler
 from bronzequay.net import server
 from bronzequay.obs import log
-from bronzequay.platform import kv, settings
+from bronzequay.platform import kv, machines, settings
 
 if TYPE_CHECKING:
+    from bronzequay import ids
     from bronzequay.core import model
 
 EXIT_ERROR = 1
@@ -113,6 +114,8 @@
                     self._rules,
                     max_hold_s=self._cfg.max_hold_s,
                     advice_address=self._cfg.advice_address,
+                    machine_calls=self._machine_calls(held.epoch),
+                    quiet_s=self._cfg.duty_lease_s,
                 )
                 await current.run()
         except* errors.BronzequayError as group:
@@ -120,6 +123,10 @@
         finally:
             await lease.release(self._store, held)
 
+    def _machine_calls(self, epoch: ids.Epoch) -> machines.Machines | None:
+        address = self._cfg.machines_address
+        return machines.Machines(address, self._cfg.instance, epoch) if address else None
+
     def _rules(self) -> model.Rules:
         assert self._follower.current is not None  # noqa: S101
         return self._follower.current.rules
--- /dev/null
+++ b/src/bronzequay/platform/machines.py
@@ -0,0 +1,121 @@
+"""The operator's waves of upkeep, and the platform's interface to machines."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from bronzequay import figures, ids
+from bronzequay.net import client
+
+WAVES = "op/wave/"
+
+
+class Request(msgspec.Struct, frozen=True):
+    """A wave as the operator asks for it.
+
+    :param within_s: seconds within which all machines are to have their upkeep
+    :param most_down: machines that may be down for it at once
+    """
+
+    number: int
+    machines: tuple[ids.MachineId, ...]
+    within_s: float
+    most_down: int
+
+
+class Outcome(enum.Enum):
+    """What is known of an order for a machine."""
+
+    OK = "ok"
+    STALE_EPOCH = "stale_epoch"
+    BUSY = "busy"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+_OUTCOMES = {
+    (200, ""): Outcome.OK,
+    (409, "fence"): Outcome.STALE_EPOCH,
+    (409, "busy"): Outcome.BUSY,
+    (409, "wave"): Outcome.REFUSED,
+    (400, ""): Outcome.REFUSED,
+}
+
+
+class _Wave(msgspec.Struct, rename="camel"):
+    wave: int
+    machines: list[str]
+    complete_by_s: float
+    cap: int = 1
+
+
+class _Status(msgspec.Struct):
+    wave: int
+    state: str
+
+
+class _Answer(msgspec.Struct):
+    reason: str = ""
+
+
+def decode_wave(value: bytes) -> Request | None:
+    """Decode the operator's request; None when it cannot be read."""
+    try:
+        wire = msgspec.json.decode(value, type=_Wave)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+    machines = tuple(map(ids.MachineId, wire.machines))
+    return Request(wire.wave, machines, wire.complete_by_s, wire.cap)
+
+
+def status_key(number: int) -> str:
+    """Return the key under which the operator reads how far a wave is."""
+    return f"status/wave/{number}"
+
+
+def encode_status(number: int, *, is_done: bool) -> bytes:
+    """Encode how far a wave is."""
+    return msgspec.json.encode(_Status(number, "completed" if is_done else "running"))
+
+
+class Machines:
+    """Orders for machines in one epoch.
+
+    :param address: ``IP:PORT`` of the platform's interface
+    :param holder: names the instance that orders
+    :param epoch: of the caller's term
+    """
+
+    def __init__(self, address: str, holder: ids.InstanceId, epoch: ids.Epoch) -> None:
+        self._http = client.Client(address)
+        self._headers = {"Duty-Holder": holder, "Fencing-Token": str(epoch)}
+
+    async def begin_upkeep(self, machine: ids.MachineId, wave: int, *, timeout_s: float) -> Outcome:
+        """Take a machine down for its upkeep; all that runs on it ends."""
+        body = msgspec.json.encode({"machine": machine, "wave": wave})
+        try:
+            resp = await self._http.request(
+                "POST", "/machine-upkeep", body=body, headers=self._headers, timeout_s=timeout_s
+            )
+        except client.NotSentError:
+            outcome = Outcome.BUSY
+        except client.NoAnswerError:
+            outcome = Outcome.UNKNOWN
+        else:
+            outcome = _OUTCOMES.get((resp.status, _reason(resp)), Outcome.BUSY)
+        figures.count(f'machine_calls{{call="upkeep",outcome="{outcome.value}"}}')
+        return outcome
+
+
+def _reason(resp: client.Response) -> str:
+    if resp.status != 409 or not resp.body:  # noqa: PLR2004
+        return ""
+    try:
+        return msgspec.json.decode(resp.body, type=_Answer).reason
+    except msgspec.MsgspecError:
+        return ""
+
+
+__all__ = ["WAVES", "Machines", "Outcome", "Request", "decode_wave", "encode_status", "status_key"]
--- a/src/bronzequay/platform/settings.py
+++ b/src/bronzequay/platform/settings.py
@@ -47,6 +47,7 @@
     :param pace_s: time until a pace takes effect
     :param notice_s: time at work that counts as available
     :param max_duties_per_s: limit on orders for machines, all instances together
+    :param duty_lease_s: time for which another holder gives no orders for machines
     :param checks_epochs: whether orders for machines are checked against earlier epochs
     """
 
@@ -77,6 +78,7 @@
     notice_s: float
     max_duties_per_s: float
     checks_epochs: bool
+    duty_lease_s: float
 
 
 def load(environ: Mapping[str, str] = os.environ) -> Settings:
@@ -134,6 +136,7 @@
         notice_s=get("bounds.noticeMs", _ms, "4500"),
         max_duties_per_s=get("cloud.dutyPerS", float, "60"),
         checks_epochs=get("bounds.fencing", _flag, "false"),
+        duty_lease_s=get("bounds.leaseMs", _ms, "3000"),
     )
 
 
--- a/src/bronzequay/platform/workers.py
+++ b/src/bronzequay/platform/workers.py
@@ -172,7 +172,7 @@
         labels=tuple(wire.labels),
         # Labels are the kind, then the rack.
         rack=wire.labels[-1] if len(wire.labels) > 1 else "",
-        machine=wire.machine or executor,
+        machine=ids.MachineId(wire.machine or executor),
     )
     remaining_s = None if wire.remaining_ms is None else wire.remaining_ms / 1000
     return Entry(executor, wire.addr, spec, wire.state == "draining", remaining_s)
--- a/tests/control/site.py
+++ b/tests/control/site.py
@@ -11,11 +11,12 @@
 from bronzequay import errors, ids
 from bronzequay.control import keys, lease, term
 from bronzequay.core import model
-from bronzequay.fakes import advice, executors, kv
+from bronzequay.fakes import advice, executors, kv, machines
 from bronzequay.front import follow, handler
 from bronzequay.net import server
 from bronzequay.platform import config
 from bronzequay.platform import kv as stores
+from bronzequay.platform import machines as machine_calls
 from tests.control.network import SOURCE, Network
 
 if TYPE_CHECKING:
@@ -24,6 +25,7 @@
     import pytest
 
 STORE = "10.0.0.1:80"
+DUTY_LEASE_S = 3.0
 CONFIG: dict[str, Any] = {
     "version": 1,
     "routes": [
@@ -55,6 +57,7 @@
         nursery.start_soon(self.kv.run)
         nursery.start_soon(self.world.run)
         self.advice_address = ""
+        self.machine_address = ""
         self.scopes: dict[str, trio.CancelScope] = {}
         self.frozen: dict[str, trio.Event] = {}
         self._jobs = 0
@@ -82,6 +85,32 @@
         executor.list_entry()
         self.network.hosts[executor.address] = executor.handle
 
+    def add_machines(self) -> machines.Machines:
+        """Have the platform take machines down on request."""
+        made = machines.Machines(self.world, self.nursery.start_soon, self._relist)
+        self.machine_address = "10.0.0.3:80"
+        self.network.hosts[self.machine_address] = made.handle
+        return made
+
+    def _relist(self, executor: executors.Executor) -> None:
+        executor.boot()
+        executor.list_entry()
+
+    def _machine_calls(self, name: str, epoch: ids.Epoch) -> machine_calls.Machines | None:
+        if not self.machine_address:
+            return None
+        return machine_calls.Machines(self.machine_address, ids.InstanceId(name), epoch)
+
+    def ask_wave(self, *names: str, within_s: float, most_down: int) -> None:
+        """Ask for the upkeep of machines as the operator does."""
+        wave = {"wave": 1, "machines": names, "completeByS": within_s, "cap": most_down}
+        self.kv.put("op/wave/1", json.dumps(wave).encode())
+
+    def wave_state(self) -> str:
+        """Return what the operator reads of its wave."""
+        value = self.kv.get("status/wave/1")
+        return "" if value is None else json.loads(value)["state"]
+
     def add_advice(self, allowed: set[str]) -> advice.Advice:
         """Have every queue's policy kept by an advice service."""
         routes = [{**route, "advice": {"decideMs": 50}} for route in CONFIG["routes"]]
@@ -116,6 +145,8 @@
                             lambda: found.rules,
                             max_hold_s=10.0,
                             advice_address=self.advice_address,
+                            machine_calls=self._machine_calls(name, held.epoch),
+                            quiet_s=DUTY_LEASE_S,
                         )
                         await current.run()
                 except* errors.BronzequayError:
--- /dev/null
+++ b/tests/control/test_upkeep.py
@@ -0,0 +1,121 @@
+"""Waves of upkeep: in time, never too many machines at once, told truly."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+from bronzequay.core import model
+from bronzequay.fakes import executors
+
+if TYPE_CHECKING:
+    from trio.testing import MockClock
+
+    from tests.control.site import Site
+
+WAVE = [f"m-i-{number}" for number in range(4)]
+
+
+def busy(site: Site) -> None:
+    """Have every accelerator of the site taken by work that saves its progress."""
+    step = model.Step(
+        count=8,
+        need=model.Resources(1000, 1000, 4),
+        estimate_s=60.0,
+        saves_progress=True,
+    )
+    site.submit(step, plan=executors.Plan(run_s=60.0, saves=True))
+
+
+@pytest.mark.parametrize("is_busy", [False, True])
+@pytest.mark.parametrize("most_down", [1, 2])
+async def test_a_wave_is_done_in_time_with_no_more_down_than_allowed(
+    autojump_clock: MockClock, site: Site, most_down: int, is_busy: bool
+) -> None:
+    machines = site.add_machines()
+    for number in range(4):
+        site.add_executor(number)
+    site.start_scheduler("a")
+    if is_busy:
+        busy(site)
+    await trio.sleep(2.0)
+    site.ask_wave(*WAVE, within_s=30.0, most_down=most_down)
+    await site.wait_until(lambda: site.wave_state() == "running", most_s=2.0)
+    await site.wait_until(lambda: site.wave_state() == "completed", most_s=30.0)
+    assert {machine for machine, _ in machines.done} == set(WAVE)
+    assert machines.most_down <= most_down
+    site.check()
+
+
+async def test_a_wave_goes_on_with_the_next_scheduler(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    machines = site.add_machines()
+    for number in range(4):
+        site.add_executor(number)
+    for name in ("a", "b"):
+        site.start_scheduler(name)
+    await site.wait_until(site.leader)
+    await trio.sleep(4.0)
+    site.ask_wave(*WAVE, within_s=40.0, most_down=1)
+    await site.wait_until(lambda: machines.orders)
+    first = site.leader()
+    assert first is not None
+    site.kill(first)
+    await site.wait_until(lambda: site.wave_state() == "completed", most_s=40.0)
+    assert machines.most_down == 1
+    assert len({holder for holder, _, _ in machines.orders}) == 2
+    site.check()
+
+
+async def test_an_order_without_an_answer_is_given_again(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    machines = site.add_machines()
+    machines.silent = 1
+    site.add_executor(0)
+    site.start_scheduler("a")
+    site.ask_wave(WAVE[0], within_s=30.0, most_down=1)
+    await site.wait_until(lambda: site.wave_state() == "completed", most_s=20.0)
+
+
+async def test_a_wave_is_not_told_done_before_all_its_machines_were_down(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    machines = site.add_machines()
+    for number in range(2):
+        site.add_executor(number)
+    site.start_scheduler("a")
+    site.ask_wave(*WAVE[:2], "m-unknown", within_s=10.0, most_down=2)
+    await site.wait_until(lambda: len(machines.done) == 2, most_s=10.0)
+    await trio.sleep(5.0)
+    assert site.wave_state() == "running"
+    await site.wait_until(lambda: site.wave_state() == "completed", most_s=60.0)
+
+
+async def test_services_keep_as_many_tasks_at_work_as_they_must(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    site.add_machines()
+    for number in range(4):
+        site.add_executor(number)
+    site.start_scheduler("a")
+    serving = model.Step(count=3, need=model.Resources(1000, 1000, 8), is_endless=True, may_miss=1)
+    job = site.submit(serving, plan=executors.Plan(lasts=True))
+    await site.wait_for(job, "running")
+    await trio.sleep(2.0)
+    site.ask_wave(*WAVE, within_s=30.0, most_down=2)
+    least = 3
+    while site.wave_state() != "completed":
+        await trio.sleep(0.05)
+        running = [
+            run
+            for each in site.world.executors.values()
+            for run in each.runs.values()
+            if run.stopping_s is None
+        ]
+        least = min(least, len(running))
+        assert trio.current_time() < 60.0
+    assert least == 2
--- a/tests/core/world.py
+++ b/tests/core/world.py
@@ -34,7 +34,12 @@
 def worker_spec(number: int, *, per_rack: int = 4) -> model.WorkerSpec:
     rack = f"r{number // per_rack}"
     return model.WorkerSpec(
-        ids.WorkerId(f"w{number}@1"), SERVICE, CAPACITY, ("a", rack), rack, f"m{number}"
+        ids.WorkerId(f"w{number}@1"),
+        SERVICE,
+        CAPACITY,
+        ("a", rack),
+        rack,
+        ids.MachineId(f"m{number}"),
     )
 
 
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -37,7 +37,7 @@
         capacity=model.Resources(32000, 1000, 8),
         labels=("a", "r1-2"),
         rack="r1-2",
-        machine="m-1",
+        machine=ids.MachineId("m-1"),
     )
     assert (entry.is_draining, entry.remaining_s) == (True, 1.5)
     assert workers.executor_of(entry.spec.worker) == "i-1"
