--- a/src/bronzequay/control/intake.py
+++ b/src/bronzequay/control/intake.py
@@ -47,9 +47,16 @@
 
         :raises errors.BronzequayError: when the store cannot be read
         """
-        progress = await self._store.range(keys.PROGRESS)
-        inbox = await self._store.range(keys.INBOX)
-        values = {keys.name_in(item.key): item.value for item in progress.items}
+        found: dict[str, Snapshot] = {}
+
+        async def read(prefix: str) -> None:
+            found[prefix] = await self._store.range(prefix)
+
+        async with trio.open_nursery() as nursery:
+            for prefix in (keys.PROGRESS, keys.INBOX):
+                nursery.start_soon(read, prefix)
+        inbox = found[keys.INBOX]
+        values = {keys.name_in(item.key): item.value for item in found[keys.PROGRESS].items}
         for spec in _specs(inbox.items):
             try:
                 records.restore(state, spec, values.get(spec.job))
--- a/src/bronzequay/control/lease.py
+++ b/src/bronzequay/control/lease.py
@@ -83,7 +83,7 @@
             else:
                 await _wait_for_change(store, found.seen_rev)
         except errors.BronzequayError as exc:
-            _log.debug("campaign_failed", error=str(exc))
+            _log.info("campaign_failed", error=str(exc))
             await trio.sleep(RETRY_S)
 
 
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -127,8 +127,9 @@
         """
         self._read_clocks()
         await self._journal.take_over()
-        await self._upkeep.load(self._state)
-        await self._intake.load(self._state, self._journal)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._upkeep.load, self._state)
+            nursery.start_soon(self._intake.load, self._state, self._journal)
         _log.info("term_began", epoch=self.epoch, jobs=len(self._state.jobs))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._intake.run)
--- a/src/bronzequay/platform/kv.py
+++ b/src/bronzequay/platform/kv.py
@@ -11,6 +11,7 @@
 
 from bronzequay import codes, errors, figures, ids
 from bronzequay.net import client
+from bronzequay.platform import contact
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -21,6 +22,8 @@
 """An answer takes 4 ms, and some 250 ms when the store is slow."""
 WATCH_MARGIN_S = 1.5
 """Time for the answer of a watch beyond the wait that it asks for."""
+REFUSALS = frozenset({429, 503})
+"""Statuses that tell that nothing was done."""
 ABSENT = ids.Revision(0)
 MAX_ENTRIES = 32
 """Entries of one transaction, conditions, writes and deletions together."""
@@ -114,6 +117,7 @@
 
     def __init__(self, address: str) -> None:
         self._http = client.Client(address)
+        self._contact = contact.Contact()
 
     async def get(self, key: str, *, timeout_s: float = CALL_TIMEOUT_S) -> Item | None:
         """Read a key; None when it does not exist."""
@@ -230,17 +234,24 @@
             resp = await self._http.request(method, path, body=body, timeout_s=timeout_s)
         except client.NotSentError as exc:
             figures.count(f'store_calls{{call="{kind}",outcome="not_sent"}}')
+            self._contact.note_failure(kind, str(exc))
             raise errors.BronzequayError(
                 codes.ResultCode.STORE_UNAVAILABLE, f"{exc}: {subject}"
             ) from exc
         except client.NoAnswerError as exc:
             figures.count(f'store_calls{{call="{kind}",outcome="no_answer"}}')
+            self._contact.note_failure(kind, str(exc))
             raise errors.BronzequayError(
                 codes.ResultCode.STORE_TIMEOUT, f"{exc}: {subject}"
             ) from exc
         figures.count(f'store_calls{{call="{kind}",outcome="{resp.status}"}}')
+        if resp.status in REFUSALS:
+            self._contact.note_failure(kind, f"HTTP {resp.status}")
+            return resp
+        took_s = 0.0 if kind == "kv-watch" else trio.current_time() - started_s
         if kind != "kv-watch":
-            figures.observe("store_call", trio.current_time() - started_s)
+            figures.observe("store_call", took_s)
+        self._contact.note_answer(kind, took_s)
         return resp
 
 
