--- a/src/bronzequay/control/lease.py
+++ b/src/bronzequay/control/lease.py
@@ -75,13 +75,12 @@
             if found is not None and is_first:
                 await _end_own_earlier(store, instance, found.value)
             is_first = False
-            if found is None:
-                await trio.sleep(delay_s)
-                held = await _take(store, instance, ttl_s)
-                if held is not None:
-                    return held
-            else:
-                await _wait_for_change(store, found.seen_rev)
+            if found is not None:
+                await _wait_until_free(store, found.seen_rev)
+            await trio.sleep(delay_s)
+            held = await _take(store, instance, ttl_s)
+            if held is not None:
+                return held
         except errors.BronzequayError as exc:
             _log.info("campaign_failed", error=str(exc))
             await trio.sleep(RETRY_S)
@@ -111,10 +110,10 @@
     return Held(granted.lease, granted.ttl_s, ids.Epoch(rev), sent_s)
 
 
-async def _wait_for_change(store: Store, rev: ids.Revision) -> None:
+async def _wait_until_free(store: Store, rev: ids.Revision) -> None:
     while True:
         changes = await store.watch(keys.LEADER, after=rev, wait_s=WATCH_S)
-        if changes.items:
+        if changes.items and changes.items[-1].value is None:
             return
         rev = changes.rev
 
