--- /dev/null
+++ b/soak/harness.py
@@ -0,0 +1,293 @@
+"""Everything that instances meet, on loopback, and the faults that are put on it."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+import json
+import signal
+import socket
+from typing import TYPE_CHECKING
+
+import trio
+
+from bronzequay.fakes import executors, kv
+from bronzequay.net import server
+from soak import links, plan, promises
+from soak.instances import GRACE_S, Instance
+
+if TYPE_CHECKING:
+    import pathlib
+
+    from soak.plan import Fault
+
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+DRAIN_S = 2.5
+QUEUES = 3
+CONFIGURATION_LIFE = 3
+ROUTES = [
+    {
+        "name": f"q{priority}",
+        "host": "soak",
+        "prefix": f"/q{priority}/",
+        "service": "service",
+        "priority": priority,
+        "attempts": 3,
+        "stretch": 2.0,
+        "targetLatencyMs": 500,
+    }
+    for priority in range(QUEUES)
+]
+
+
+def free_ports(seed: int) -> itertools.chain[int]:
+    """Yield ports that nobody listens on, from a place that depends on the seed."""
+    first = FIRST_PORT + seed * 211 % (LAST_PORT - FIRST_PORT)
+    ports = itertools.chain(range(first, LAST_PORT), range(FIRST_PORT, first))
+    return itertools.chain(port for port in ports if _is_free(port))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+class Harness:
+    """Stand-ins, links and instances of one run.
+
+    :param nursery: runs them
+    :param folder: for logs and settings files
+    :ivar version: of the configuration written last
+    :ivar injected: faults by kind
+    """
+
+    def __init__(
+        self, nursery: trio.Nursery, *, seed: int, entries: int, workers: int, folder: pathlib.Path
+    ) -> None:
+        self._nursery = nursery
+        self._ports = free_ports(seed)
+        self.kv = kv.Kv(nursery.start_soon, seed=seed)
+        self.world = executors.World(self.kv)
+        self.runs = promises.Runs(self.world)
+        self.version = 0
+        self.injected: collections.Counter[str] = collections.Counter()
+        self.troubled_s = trio.current_time()
+        self._store_port = next(self._ports)
+        self._worker_links: dict[str, links.Link] = {}
+        self._worker_scopes: dict[str, trio.CancelScope] = {}
+        self.instances = [self._make_instance(number, folder) for number in range(entries)]
+        self._workers = workers
+
+    async def start(self) -> None:
+        """Start the stand-ins, then the instances."""
+        start = self._nursery.start_soon
+        start(self.kv.run)
+        start(self.world.run)
+        store = server.Server(f"127.0.0.1:{self._store_port}", self.kv.handle)
+        await self._nursery.start(store.run)
+        self.configure()
+        for number in range(self._workers):
+            await self._add_worker(f"i-{number}", rack=f"r{number // 4}")
+        for instance in self.instances:
+            start(instance.store.run)
+            start(instance.callers.run)
+            instance.start()
+
+    def _make_instance(self, number: int, folder: pathlib.Path) -> Instance:
+        ports = [next(self._ports) for _ in range(6)]
+        store = links.Link(ports[4], lambda: self._store_port)
+        callers = links.Link(ports[5], lambda: ports[0])
+        return Instance(number, ports[:4], store=store, callers=callers, folder=folder)
+
+    async def _add_worker(self, name: str, *, rack: str) -> None:
+        port, own_port = next(self._ports), next(self._ports)
+        self._worker_links[name] = links.Link(port, lambda: own_port)
+        self._nursery.start_soon(self._worker_links[name].run)
+        executor = self.world.add(name, f"127.0.0.1:{port}", rack=rack)
+        executor.spawn = self._nursery.start_soon
+        await self._nursery.start(self._serve_worker, executor, own_port)
+
+    async def _serve_worker(
+        self,
+        executor: executors.Executor,
+        port: int,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        async def handle(req: server.Request) -> server.Answer:
+            if not executor.is_up:
+                await trio.sleep_forever()
+            for each in self.world.executors.values():
+                if each.is_up:
+                    each.step()
+            return await executor.handle(req)
+
+        await server.Server(f"127.0.0.1:{port}", handle).run(task_status=task_status)
+
+    def configure(self) -> None:
+        """Write the next version; each adds a route, and each route stays for good."""
+        self.version += 1
+        added = [
+            {**ROUTES[0], "name": f"v{number}", "prefix": f"/v{number}/"}
+            for number in range(1, self.version + 1)
+        ]
+        wire = {
+            "version": self.version,
+            "routes": [*ROUTES, *added],
+            "services": [{"name": "service"}],
+            "tenants": [
+                {"name": "one", "apiKeys": ["key-one"], "guaranteed": {"gpu": 8}},
+                {"name": "two", "apiKeys": ["key-two"]},
+            ],
+        }
+        self.kv.put("op/config", json.dumps(wire).encode())
+
+    async def inject(self, fault: Fault) -> None:
+        """Put one fault on the run, for as long as it lasts."""
+        self.injected[fault.kind.value] += 1
+        self.troubled_s = trio.current_time() + fault.for_s
+        instance = self.instances[fault.pick % len(self.instances)]
+        process_faults = {
+            plan.Kind.KILL: self._kill,
+            plan.Kind.KILL_ALL: self._kill_all,
+            plan.Kind.PAUSE: self._pause,
+            plan.Kind.TERM: self._terminate,
+        }
+        if fault.kind in process_faults:
+            await process_faults[fault.kind](instance, fault)
+        elif fault.kind in _STORE_FAULTS:
+            self._disturb_all()
+            self.kv.faults = _STORE_FAULTS[fault.kind]
+            await trio.sleep(fault.for_s)
+            self.kv.faults = kv.Faults()
+            self._disturb_all()
+        elif fault.kind is plan.Kind.STORE_COMPACTS:
+            self.kv.compact()
+        elif fault.kind is plan.Kind.CONFIGURATION:
+            self.configure()
+        elif fault.kind.value.startswith("link"):
+            await self._on_link(instance, fault)
+        else:
+            await self._on_worker(fault)
+        self.troubled_s = max(self.troubled_s, trio.current_time())
+
+    def _disturb_all(self) -> None:
+        for instance in self.instances:
+            instance.disturbed_s = trio.current_time()
+
+    async def _on_link(self, instance: Instance, fault: Fault) -> None:
+        names = sorted(self._worker_links)
+        link = {
+            plan.Target.STORE: instance.store,
+            plan.Target.CALLERS: instance.callers,
+            plan.Target.WORKER: self._worker_links[names[fault.pick % len(names)]],
+        }[fault.target]
+        self._disturb_all()
+        if fault.kind is plan.Kind.LINK_RESET:
+            link.reset()
+        elif fault.kind is plan.Kind.LINK_SILENT:
+            link.silence()
+        elif fault.kind is plan.Kind.LINK_DELAY:
+            link.delay_s = 0.02 + fault.pick % 400 / 1000
+        elif fault.kind is plan.Kind.LINK_REFUSES:
+            link.is_refusing = True
+            link.reset()
+        else:
+            is_one_way = fault.kind is plan.Kind.LINK_CUT_ONE_WAY
+            up_only: set[links.Direction] = {"up"} if fault.pick % 2 else {"down"}
+            link.cut = up_only if is_one_way else {"up", "down"}
+        await trio.sleep(fault.for_s)
+        link.heal()
+        self._disturb_all()
+
+    async def _on_worker(self, fault: Fault) -> None:
+        names = sorted(self.world.executors)
+        executor = self.world.executors[names[fault.pick % len(names)]]
+        if not executor.is_up or executor.state != "ready":
+            return
+        if fault.kind in (plan.Kind.WORKER_REBORN, plan.Kind.WORKER_GONE):
+            self._crash(executor)
+            is_quick = fault.kind is plan.Kind.WORKER_REBORN
+            await trio.sleep(0.2 if is_quick else fault.for_s)
+            executor.boot()
+            executor.list_entry()
+        elif fault.kind is plan.Kind.WORKER_DRAINS:
+            executor.state = "draining"
+            executor.list_entry()
+            await trio.sleep(DRAIN_S)
+            self._crash(executor)
+            await trio.sleep(fault.for_s)
+            executor.state = "ready"
+            executor.boot()
+            executor.list_entry()
+        else:
+            await self._misbehave(executor, fault)
+
+    def _crash(self, executor: executors.Executor) -> None:
+        executor.crash()
+        self._worker_links[executor.name].reset()
+
+    async def _misbehave(self, executor: executors.Executor, fault: Fault) -> None:
+        if fault.kind is plan.Kind.WORKER_STALLS:
+            executor.stall = True
+        elif fault.kind is plan.Kind.WORKER_FAILS:
+            executor.fail_all = True
+        else:
+            path = ("/run-start", "/run-stop", "/hold")[fault.pick % 3]
+            executor.answer_lost[path] = 1 + fault.pick % 4
+            is_late = fault.kind is plan.Kind.ORDERS_LATE
+            executor.late_s = 2.0 + fault.pick % 8 if is_late else 0.0
+            executor.late_outlives = bool(fault.pick % 5 == 0)
+        await trio.sleep(fault.for_s)
+        executor.stall = executor.fail_all = False
+        executor.answer_lost.clear()
+
+    async def _kill(self, instance: Instance, fault: Fault) -> None:
+        instance.disturbed_s = trio.current_time()
+        instance.send(signal.SIGKILL)
+        await instance.wait_ended(GRACE_S)
+        await trio.sleep(fault.for_s / 5)
+        if not instance.is_running:
+            instance.start()
+        instance.disturbed_s = trio.current_time()
+
+    async def _kill_all(self, _instance: Instance, fault: Fault) -> None:
+        async with trio.open_nursery() as nursery:
+            for instance in self.instances:
+                nursery.start_soon(self._kill, instance, fault)
+
+    async def _pause(self, instance: Instance, fault: Fault) -> None:
+        instance.disturbed_s = trio.current_time() + fault.for_s
+        instance.send(signal.SIGSTOP)
+        await trio.sleep(fault.for_s)
+        instance.send(signal.SIGCONT)
+        instance.disturbed_s = trio.current_time()
+
+    async def _terminate(self, instance: Instance, _fault: Fault) -> None:
+        instance.term_s = trio.current_time()
+        instance.send(signal.SIGTERM)
+        await instance.wait_ended(GRACE_S)
+        if not instance.is_running:
+            instance.start()
+
+    def stop(self) -> None:
+        """End every process that the run has started."""
+        for instance in self.instances:
+            instance.send(signal.SIGCONT)
+            instance.send(signal.SIGKILL)
+
+
+_STORE_FAULTS = {
+    plan.Kind.STORE_BUSY: kv.Faults(busy=True),
+    plan.Kind.STORE_SILENT: kv.Faults(silent=True),
+    plan.Kind.STORE_SLOW: kv.Faults(delay_s=0.25),
+    plan.Kind.STORE_LOSES: kv.Faults(lose=0.4),
+    plan.Kind.STORE_WRITES_LATE: kv.Faults(lose=0.4, late_s=3.0),
+    plan.Kind.STORE_DEAF: kv.Faults(deaf=True),
+}
--- a/src/bronzequay/fakes/executors.py
+++ b/src/bronzequay/fakes/executors.py
@@ -28,6 +28,7 @@
     :param gang: members of the gang, 0 for a task on its own
     :param fails: runs that end as failed before one succeeds
     :param saves: whether it writes checkpoints
+    :param gpu: accelerators that it takes
     :param lasts: whether it runs without an end
     :param tail_ms: tail of its response times when nothing disturbs it, 0 if it does not serve
     :param disturbs: what it adds to the tails beside it at full speed, as a share of them
@@ -37,6 +38,7 @@
     gang: int = 0
     fails: int = 0
     saves: bool = False
+    gpu: int = 0
     lasts: bool = False
     tail_ms: float = 0.0
     disturbs: float = 0.0
--- a/src/bronzequay/net/client.py
+++ b/src/bronzequay/net/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 from typing import TYPE_CHECKING
 
@@ -102,6 +103,16 @@
             collector.parser.get_status_code(), collector.headers, b"".join(collector.chunks)
         )
 
+    @property
+    def is_usable(self) -> bool:
+        """Return whether the idle connection is open and the peer has not closed it."""
+        if not self.is_open:
+            return False
+        # An idle connection has something to read only at its end.
+        poll = select.poll()
+        poll.register(self._stream.socket.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
     def close(self) -> None:
         """Close the socket without waiting."""
         self.is_open = False
@@ -154,8 +165,9 @@
     async def _take(self, timeout_s: float) -> Connection:
         while self._idle:
             conn = self._idle.pop()
-            if conn.is_open:
+            if conn.is_usable:
                 return conn
+            conn.close()
         return await self._connect(timeout_s)
 
     async def _connect(self, timeout_s: float) -> Connection:
--- a/tests/control/site.py
+++ b/tests/control/site.py
@@ -17,6 +17,7 @@
 from bronzequay.platform import config
 from bronzequay.platform import kv as stores
 from bronzequay.platform import machines as machine_calls
+from soak import promises
 from tests.control.network import SOURCE, Network
 
 if TYPE_CHECKING:
@@ -230,19 +231,7 @@
 
     def check(self) -> None:
         """Check that no task ran twice at once, and none after a noted end as done."""
-        noted = {(task, run) for _, event, _, task, run in self.world.log if event == "noted"}
-        running: dict[str, str] = {}
-        done: set[str] = set()
-        for at_s, event, executor, task, run in self.world.log:
-            if event == "start":
-                place = f"{task}, run {run}, at {at_s:.2f} on {executor}"
-                assert task not in running, f"two runs: {place} and {running[task]}"
-                assert task not in done, f"started after done: {place}"
-                running[task] = place
-            elif event != "noted":
-                running.pop(task, None)
-                if event == "done" and (task, run) in noted:
-                    done.add(task)
+        assert promises.Runs(self.world).check() == []
 
 
 GPU = model.Resources(1000, 1000, 8)
--- a/tests/net/test_exchange.py
+++ b/tests/net/test_exchange.py
@@ -135,3 +135,30 @@
         assert answers[0].headers["connection"] == "close"
         assert calls._idle == []
         nursery.cancel_scope.cancel()
+
+
+async def test_a_kept_connection_that_the_peer_has_closed_is_not_used_again() -> None:
+    listener = trio.socket.socket()
+    await listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    port = listener.getsockname()[1]
+    accepted = 0
+
+    async def serve() -> None:
+        nonlocal accepted
+        while True:
+            sock, _ = await listener.accept()
+            accepted += 1
+            await sock.recv(1000)
+            await sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            await trio.sleep(0.05)
+            sock.close()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve)
+        calls = client.Client(f"127.0.0.1:{port}")
+        for _ in range(2):
+            assert (await calls.request("GET", "/", timeout_s=1.0)).status == 200
+            await trio.sleep(0.1)
+        nursery.cancel_scope.cancel()
+    assert accepted == 2
