Own interface on the platform: jobs, reasons, hire sheet and state on each instance's port

Cause: on the platform only counters were served; the analyst could not ask why a job waits, and what is told of ended jobs was kept for ever. The state of a job in the store now carries its summary (times, size, version of the configuration, failures, reason), written with the same transactions as before. An instance's own port serves `/v1/jobs`, `/v1/jobs/ID`, `.../why`, `/hire-sheet`, `/v1/state` and `/metrics`; the scheduler's own words are asked for at the instance that holds the lease. Ended jobs are removed after `BRONZEQUAY_HISTORY_S`, by conditional writes.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -205,7 +205,8 @@
         now_s = trio.current_time()
         is_planned = sent_s - GRACE_S < instance.term_s < now_s
         is_calm = instance.disturbed_s < sent_s - CALM_S and now_s - sent_s < DEADLINE_S - 0.1
-        if is_planned and is_calm:
+        is_there = instance.callers.unreached_s < sent_s
+        if is_planned and is_calm and is_there:
             self.breaches.append(f"{instance.name} cut off {call} while it was shutting down")
 
     async def probe_configuration(self) -> None:
--- a/soak/links.py
+++ b/soak/links.py
@@ -43,6 +43,7 @@
     :ivar delay_s: added to each piece of data
     :ivar cut: directions in which data is held until the cut heals
     :ivar is_refusing: whether new connections are reset
+    :ivar unreached_s: when the target was last found without a listener
     """
 
     def __init__(self, port: int, target: Callable[[], int]) -> None:
@@ -50,6 +51,7 @@
         self.delay_s = 0.0
         self.cut: set[Direction] = set()
         self.is_refusing = False
+        self.unreached_s = float("-inf")
         self._target = target
         self._pairs: set[_Pair] = set()
         self._healed = trio.Event()
@@ -93,6 +95,7 @@
             await self._wait_open("up")
             await far.connect(("127.0.0.1", self._target()))
         except OSError:
+            self.unreached_s = trio.current_time()
             pair.reset()
             return
         for sock in (near, far):
--- a/src/bronzequay/cfg/entry.py
+++ b/src/bronzequay/cfg/entry.py
@@ -5,7 +5,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from bronzequay.cfg import settings
+from bronzequay.cfg import flags, settings
 
 if TYPE_CHECKING:
     from bronzequay import ids
@@ -152,7 +152,7 @@
     :return: the typed settings, and each with its origin
     :raises errors.BronzequayError: for a bad, missing or unknown setting
     """
-    return settings.load(
+    return flags.load(
         EntryCfg,
         DECLARED,
         program="bronzequay-entry",
--- a/src/bronzequay/control/journal.py
+++ b/src/bronzequay/control/journal.py
@@ -9,8 +9,8 @@
 import trio
 
 from bronzequay import codes, errors, ids
-from bronzequay.control import keys
-from bronzequay.core import records
+from bronzequay.control import keys, status
+from bronzequay.core import explain, records
 from bronzequay.platform import kv, machines
 
 if TYPE_CHECKING:
@@ -140,9 +140,14 @@
         if self._told.get(name) == job.state.value:
             return
         self._told[name] = job.state.value
-        ended_s = wall_s if job.is_final else 0.0
-        status = keys.Status(job.state.value, job.spec.org, ended_s)
-        change.puts.append(kv.Put(keys.state(name), msgspec.msgpack.encode(status)))
+        told = msgspec.structs.replace(
+            status.of_spec(job.spec, job.state),
+            begun_s=job.begun_s,
+            ended_s=wall_s if job.is_final else 0.0,
+            failures=explain.failures(job),
+            reason=job.reason,
+        )
+        change.puts.append(kv.Put(keys.state(name), status.encode(told)))
 
     async def _write(self, change: Change) -> None:
         """Write one transaction, as often as it takes to know that it is done."""
@@ -166,11 +171,11 @@
 
 
 def _of_wave(wave: upkeep.Wave) -> Change:
-    status = machines.encode_status(wave.number, is_done=wave.is_done)
+    told = machines.encode_status(wave.number, is_done=wave.is_done)
     return Change(
         [
             kv.Put(keys.wave(wave.number), msgspec.msgpack.encode(wave)),
-            kv.Put(machines.status_key(wave.number), status),
+            kv.Put(machines.status_key(wave.number), told),
         ]
     )
 
--- a/src/bronzequay/control/keys.py
+++ b/src/bronzequay/control/keys.py
@@ -1,11 +1,9 @@
-"""Keys of the store that belong to us, and the values that instances share."""
+"""Keys of the store that belong to us."""
 
 from __future__ import annotations
 
 import urllib.parse
 
-import msgspec
-
 from bronzequay import ids
 
 ROOT = "bronzequay/"
@@ -20,18 +18,6 @@
 WAVES = ROOT + "wave/"
 
 
-class Status(msgspec.Struct, frozen=True, array_like=True):
-    """What callers are told of a job.
-
-    :param state: a ``model.JobState``
-    :param ended_s: seconds since the Unix epoch, 0 before the end
-    """
-
-    state: str
-    org: ids.OrgId
-    ended_s: float = 0.0
-
-
 def job(name: ids.JobId) -> str:
     """Return the key of a job as it was accepted."""
     return JOBS + name
@@ -82,7 +68,6 @@
     "STATES",
     "WAITING",
     "WAVES",
-    "Status",
     "cancel",
     "job",
     "name_in",
--- a/src/bronzequay/control/lease.py
+++ b/src/bronzequay/control/lease.py
@@ -26,10 +26,14 @@
 
 
 class Leader(msgspec.Struct, frozen=True, array_like=True):
-    """Who holds the lease."""
+    """Who holds the lease.
+
+    :param address: ``IP:PORT`` of its own interface, empty when it has none
+    """
 
     instance: ids.InstanceId
     lease: int
+    address: str = ""
 
 
 class Held:
@@ -60,11 +64,13 @@
     instance: ids.InstanceId,
     *,
     ttl_s: float,
+    address: str = "",
     delay_s: float = 0.0,
     is_restart: bool = False,
 ) -> Held:
     """Wait until no instance holds the lease, and take it.
 
+    :param address: ``IP:PORT`` of the instance's own interface
     :param is_restart: whether a lease in this instance's name is of a process that has ended
     :param delay_s: head start that other instances get
     """
@@ -78,7 +84,7 @@
             if found is not None:
                 await _wait_until_free(store, found.seen_rev)
             await trio.sleep(delay_s)
-            held = await _take(store, instance, ttl_s)
+            held = await _take(store, instance, ttl_s, address)
             if held is not None:
                 return held
         except errors.BronzequayError as exc:
@@ -98,10 +104,10 @@
         await store.revoke(leader.lease)
 
 
-async def _take(store: Store, instance: ids.InstanceId, ttl_s: float) -> Held | None:
+async def _take(store: Store, instance: ids.InstanceId, ttl_s: float, address: str) -> Held | None:
     sent_s = clock.boot_s()
     granted = await store.grant(ttl_s)
-    leader = msgspec.msgpack.encode(Leader(instance, granted.lease))
+    leader = msgspec.msgpack.encode(Leader(instance, granted.lease, address))
     put = kv.Put(keys.LEADER, leader, granted.lease)
     try:
         rev = await store.txn(expect=[(keys.LEADER, kv.ABSENT)], puts=[put])
--- /dev/null
+++ b/src/bronzequay/control/status.py
@@ -0,0 +1,78 @@
+"""What callers and the analyst are told of a job; kept for a while after its end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from bronzequay import ids
+from bronzequay.core import order
+
+if TYPE_CHECKING:
+    from bronzequay.core import model
+
+
+class Status(msgspec.Struct, frozen=True, array_like=True):
+    """State and summary of one job; times are seconds since the Unix epoch.
+
+    :param state: a ``model.JobState``
+    :param begun_s: when its first task was started, 0 before
+    :param ended_s: 0 before the end
+    :param version: of the configuration in force when it was accepted
+    :param tasks: over all its steps
+    :param cpu: largest need of a task, in thousandths of a core
+    :param mem_mb: largest need of a task
+    :param gpu: largest need of a task
+    :param estimate_s: longest path through its steps
+    :param failures: runs that ended as failed
+    :param reason: why it ended as it did, empty while there is nothing to say
+    """
+
+    state: str
+    org: ids.OrgId
+    queue: ids.QueueId = ids.QueueId("")
+    accepted_s: float = 0.0
+    begun_s: float = 0.0
+    ended_s: float = 0.0
+    version: int = 0
+    tasks: int = 0
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_s: float = 0.0
+    failures: int = 0
+    reason: str = ""
+
+
+def of_spec(spec: model.JobSpec, state: model.JobState) -> Status:
+    """Return what is told of a job that has just been accepted."""
+    needs = [step.need for step in spec.steps]
+    return Status(
+        state=state.value,
+        org=spec.org,
+        queue=spec.queue,
+        accepted_s=spec.accepted_s,
+        version=spec.version,
+        tasks=sum(step.count for step in spec.steps),
+        cpu=max(need.cpu for need in needs),
+        mem_mb=max(need.mem_mb for need in needs),
+        gpu=max(need.gpu for need in needs),
+        estimate_s=order.chain_s(spec.steps),
+    )
+
+
+def encode(status: Status) -> bytes:
+    """Encode a status for the store."""
+    return msgspec.msgpack.encode(status)
+
+
+def decode(value: bytes) -> Status:
+    """Decode a status.
+
+    :raises msgspec.MsgspecError: when it cannot be read
+    """
+    return msgspec.msgpack.decode(value, type=Status)
+
+
+__all__ = ["Status", "decode", "encode", "of_spec"]
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import functools
+from typing import TYPE_CHECKING, Any
 
 import structlog
 import trio
 
 from bronzequay import clock, figures
-from bronzequay.control import advisor, intake, journal, roster, session, upkeep
-from bronzequay.core import lifecycle, model, schedule
+from bronzequay.control import advisor, intake, journal, roster, session, sweep, upkeep
+from bronzequay.core import explain, lifecycle, model, schedule
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
@@ -39,6 +40,7 @@
     :param advice_address: ``IP:PORT`` of the advice service, empty when there is none
     :param machine_calls: orders for machines, None where there are none
     :param quiet_s: time from the beginning for which none are given
+    :param keep_s: time after its end for which a job is told of
     """
 
     def __init__(
@@ -51,10 +53,12 @@
         advice_address: str = "",
         machine_calls: machines.Machines | None = None,
         quiet_s: float = 0.0,
+        keep_s: float = float("inf"),
     ) -> None:
         self.max_hold_s = max_hold_s
         self.roster = roster.Roster(store, self)
         self._held = held
+        self._sweep = functools.partial(sweep.run, store, keep_s=keep_s)
         self._rules = rules
         self._advisor = advisor.Advisor(advice_address, self)
         self._upkeep = upkeep.Upkeep(store, self, machine_calls, quiet_s=quiet_s)
@@ -120,6 +124,38 @@
         )
         return self._state.jobs[command.key.job].spec.payload if is_wanted else None
 
+    def explain(self, job: ids.JobId) -> str | None:
+        """Tell what a job waits for or does; None when it is not open."""
+        self._read_clocks()
+        return explain.why(self._state, job)
+
+    def dump(self) -> dict[str, Any]:
+        """Return what the scheduler knows, for the state dump."""
+        return {
+            "epoch": self.epoch,
+            "is_trusted": self.is_trusted,
+            "open_steps": len(self._state.open),
+            "claims": len(self._state.claims),
+            "jobs": {
+                name: {"state": job.state.value, "placed": sum(len(s.placed) for s in job.steps())}
+                for name, job in self._state.jobs.items()
+            },
+            "workers": {
+                name: {
+                    "free": [worker.cpu, worker.mem_mb, worker.gpu],
+                    "tasks": len(worker.tasks),
+                    "is_ready": worker.is_ready,
+                    "is_draining": worker.is_draining,
+                    "avoided_s": max(0.0, worker.avoid_until_s - self._state.now_s),
+                }
+                for name, worker in self._state.workers.items()
+            },
+            "waves": {
+                number: {"done": len(wave.done), "ordered": sorted(wave.ordered)}
+                for number, wave in self._state.waves.items()
+            },
+        }
+
     async def run(self) -> None:
         """Take over and decide until the term ends.
 
@@ -136,6 +172,7 @@
             nursery.start_soon(self.roster.run)
             nursery.start_soon(self._advisor.run)
             nursery.start_soon(self._upkeep.run)
+            nursery.start_soon(self._sweep)
             nursery.start_soon(self._tick)
             await self._decide()
 
--- a/src/bronzequay/core/lifecycle.py
+++ b/src/bronzequay/core/lifecycle.py
@@ -60,7 +60,7 @@
     """Cancel a job; one that has ended is left as it is."""
     job = state.jobs.get(job_id)
     if job is not None and not job.is_final:
-        _finish(state, job, model.JobState.CANCELLED)
+        _finish(state, job, model.JobState.CANCELLED, "cancelled by its caller")
 
 
 def start(state: State, step: StepRun, placement: Sequence[tuple[Task, Worker]]) -> None:
@@ -80,7 +80,8 @@
         hold(worker, step, task)
         state.commands.append(_start_command(step, task, worker))
     job = step.job
-    job.has_begun = True
+    if not job.has_begun:
+        job.has_begun, job.begun_s = True, state.wall_s
     state.note(
         "started",
         job.spec.job,
@@ -209,7 +210,7 @@
     if checkpoint:
         task.checkpoint = checkpoint
     state.dirty.add(step.job.spec.job)
-    _note_end(state, step, task, how)
+    _note_end(state, step, task, how, worker)
     retire(state, step.job)
 
 
@@ -221,9 +222,18 @@
             del state.absent[worker]
 
 
-def _note_end(state: State, step: StepRun, task: Task, how: model.End) -> None:
+def _note_end(
+    state: State, step: StepRun, task: Task, how: model.End, worker: ids.WorkerId
+) -> None:
     if how is not model.End.DONE:
-        state.note("run_ended", task.key.job, task=task.key[1:], run=task.run, how=how.value)
+        state.note(
+            "run_ended",
+            task.key.job,
+            task=task.key[1:],
+            run=task.run,
+            how=how.value,
+            worker=worker,
+        )
     if how is model.End.DONE and not step.spec.is_endless:
         task.phase = model.Phase.DONE
         if step.spec.is_gang or all(each.phase is model.Phase.DONE for each in step.tasks):
@@ -232,7 +242,7 @@
     if step.is_done or step.job.is_final:
         return
     if how is model.End.FAILED:
-        _note_failure(state, step, task)
+        _note_failure(state, step, task, worker)
     if step.spec.is_gang and how in _CAUSES_OF_STOP:
         for other in step.placed:
             stop(state, other)
@@ -240,7 +250,7 @@
         _reopen(state, step)
 
 
-def _note_failure(state: State, step: StepRun, task: Task) -> None:
+def _note_failure(state: State, step: StepRun, task: Task, worker: ids.WorkerId) -> None:
     task.failures += 1
     if step.spec.is_gang and step.failed_run != task.run:
         step.failed_run = task.run
@@ -250,7 +260,9 @@
         return
     failures = step.failures if step.spec.is_gang else task.failures
     if failures >= queue.attempts:
-        _finish(state, step.job, model.JobState.FAILED)
+        what = "the gang" if step.spec.is_gang else f"task {task.key.number}"
+        reason = f"{what} of step {step.number} failed {failures} times, last on {worker}"
+        _finish(state, step.job, model.JobState.FAILED, reason)
 
 
 def _finish_step(state: State, step: StepRun) -> None:
@@ -275,9 +287,10 @@
     )
 
 
-def _finish(state: State, job: Job, outcome: model.JobState) -> None:
+def _finish(state: State, job: Job, outcome: model.JobState, reason: str = "") -> None:
     job.state = outcome
-    state.note("job_ended", job.spec.job, outcome=outcome.value)
+    job.reason = reason
+    state.note("job_ended", job.spec.job, outcome=outcome.value, reason=reason)
     state.dirty.add(job.spec.job)
     for step in job.steps():
         state.open.pop(step.key, None)
--- a/src/bronzequay/core/model.py
+++ b/src/bronzequay/core/model.py
@@ -65,6 +65,7 @@
 
     :param payload: handed to the workers unread
     :param accepted_s: seconds since the Unix epoch at the instance that accepted it
+    :param version: of the configuration in force there
     :param times: occurrences of the steps, 0 for a job that runs once at once
     :param first_due_s: when occurrence 0 is due, in seconds since the Unix epoch
     :param interval_s: time from one occurrence to the next
@@ -76,6 +77,7 @@
     payload: str
     steps: tuple[Step, ...]
     accepted_s: float
+    version: int = 0
     times: int = 0
     first_due_s: float = 0.0
     interval_s: float = 0.0
--- a/src/bronzequay/core/records.py
+++ b/src/bronzequay/core/records.py
@@ -46,19 +46,24 @@
 
     :param next_occurrence: number of the first that was not due
     :param workers: lives of workers that tasks are placed on
+    :param begun_s: when its first task was started, in seconds since the Unix epoch
     """
 
     state: str
     next_occurrence: int
     workers: list[str]
     steps: list[StepRecord]
+    begun_s: float = 0.0
+    reason: str = ""
 
 
 def encode(job: Job) -> bytes:
     """Encode a job's progress."""
     workers: dict[str, int] = {}
     steps = [_step(step, workers) for step in job.steps() if _is_touched(step)]
-    record = JobRecord(job.state.value, job.next_occurrence, list(workers), steps)
+    record = JobRecord(
+        job.state.value, job.next_occurrence, list(workers), steps, job.begun_s, job.reason
+    )
     return msgspec.msgpack.encode(record)
 
 
@@ -99,6 +104,7 @@
     state.jobs[spec.job] = job
     job.state = model.JobState(record.state)
     job.has_begun = bool(record.steps)
+    job.begun_s, job.reason = record.begun_s, record.reason
     job.next_occurrence = record.next_occurrence
     for number in range(record.next_occurrence):
         job.occurrences[number] = states.Occurrence(job, number)
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -158,6 +158,8 @@
     :ivar occurrences: those that are due and not done
     :ivar next_occurrence: number of the first that is not due
     :ivar has_begun: whether a task was ever started
+    :ivar begun_s: when the first was, in seconds since the Unix epoch
+    :ivar reason: why it ended as it did
     """
 
     def __init__(self, spec: model.JobSpec) -> None:
@@ -166,6 +168,8 @@
         self.occurrences: dict[int, Occurrence] = {}
         self.next_occurrence = 0
         self.has_begun = False
+        self.begun_s = 0.0
+        self.reason = ""
 
     @property
     def times(self) -> int:
--- a/src/bronzequay/front/handler.py
+++ b/src/bronzequay/front/handler.py
@@ -9,7 +9,7 @@
 import trio
 
 from bronzequay import clock, codes, errors, ids
-from bronzequay.control import keys
+from bronzequay.control import keys, status
 from bronzequay.core import model
 from bronzequay.net import server
 from bronzequay.platform import config, ingress, kv
@@ -80,20 +80,25 @@
             return server.Answer(405)
         if len(call.req.body) > current.max_body_bytes:
             return server.Answer(413)
-        return await self._submit(call)
+        return await self._submit(call, current.version)
 
-    async def _submit(self, call: _Call) -> server.Answer:
+    async def _submit(self, call: _Call, version: int) -> server.Answer:
         job, queue = call.job, call.route.queue
         try:
             spec = ingress.decode_job(
-                call.req.body, job=job, queue=queue, org=call.org, accepted_s=clock.wall_s()
+                call.req.body,
+                job=job,
+                queue=queue,
+                org=call.org,
+                version=version,
+                accepted_s=clock.wall_s(),
             )
         except errors.BronzequayError as exc:
             _log.info("job_malformed", job=job, error=str(exc))
             return server.Answer(400, _error(exc))
-        status = keys.Status(model.JobState.QUEUED.value, call.org)
+        told = status.of_spec(spec, model.JobState.QUEUED)
         puts = [
-            kv.Put(keys.state(job), msgspec.msgpack.encode(status)),
+            kv.Put(keys.state(job), status.encode(told)),
             kv.Put(keys.job(job), msgspec.msgpack.encode(spec)),
         ]
         if not spec.times:
@@ -108,10 +113,10 @@
             found = await self._store.get(keys.state(job))
         except errors.BronzequayError as exc:
             return _refuse(503, exc)
-        status = _status(found, call)
-        if status is None:
+        told = _status(found, call)
+        if told is None:
             return server.Answer(410)
-        if model.JobState(status.state) in model.FINAL:
+        if model.JobState(told.state) in model.FINAL:
             return server.Answer(200)
         answer = await self._write(job, [], [kv.Put(keys.cancel(job), b"")], call.req)
         _log.info("job_cancel_asked", job=job, status=answer.status)
@@ -149,10 +154,10 @@
             found = await self._store.get(keys.state(call.job))
         except errors.BronzequayError as exc:
             return _refuse(503, exc)
-        status = _status(found, call)
-        if status is None:
+        told = _status(found, call)
+        if told is None:
             return server.Answer(410)
-        return server.Answer(200, ingress.encode_state(model.JobState(status.state)))
+        return server.Answer(200, ingress.encode_state(model.JobState(told.state)))
 
     async def _count(self, route: config.Route) -> server.Answer:
         try:
@@ -175,13 +180,13 @@
     return current.orgs_by_key.get(key.strip()) if scheme.lower() == "bearer" else None
 
 
-def _status(found: kv.Item | None, call: _Call) -> keys.Status | None:
+def _status(found: kv.Item | None, call: _Call) -> status.Status | None:
     """Return what callers are told of a job, None when it is not one of the caller's."""
     if found is None or found.value is None:
         return None
-    status = msgspec.msgpack.decode(found.value, type=keys.Status)
-    is_own = call.org == status.org or call.route.is_public
-    return status if is_own else None
+    told = status.decode(found.value)
+    is_own = call.org == told.org or call.route.is_public
+    return told if is_own else None
 
 
 def _timeout_s(req: server.Request) -> float:
--- a/src/bronzequay/node.py
+++ b/src/bronzequay/node.py
@@ -4,20 +4,24 @@
 
 import signal
 import sys
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+import msgspec
 import structlog
 import trio
 
-from bronzequay import errors, figures
+from bronzequay import errors
+from bronzequay.cfg import node
 from bronzequay.control import lease, term
 from bronzequay.front import follow, handler
 from bronzequay.net import server
-from bronzequay.obs import log
+from bronzequay.obs import dump, log
+from bronzequay.own import desk
 from bronzequay.platform import kv, machines, settings
 
 if TYPE_CHECKING:
     from bronzequay import ids
+    from bronzequay.cfg.settings import Resolved
     from bronzequay.core import model
 
 EXIT_ERROR = 1
@@ -37,14 +41,24 @@
     :param cfg: the platform's settings
     """
 
-    def __init__(self, cfg: settings.Settings) -> None:
+    def __init__(self, cfg: settings.Settings, own: dict[str, Resolved]) -> None:
         self._cfg = cfg
+        self._own = own
+        self._term: term.Term | None = None
         self._store = kv.Store(cfg.store_address)
         self._follower = follow.Follower(self._store)
         self._handler = handler.Handler(self._store, self._follower)
         self._front = server.Server(cfg.callers_address, self._handler.handle)
         self._ready = server.Server(cfg.ready_address, self._answer_ready)
-        self._metrics = server.Server(f"{cfg.address}:{cfg.first_port}", self._answer_metrics)
+        self._own_address = f"{cfg.address}:{cfg.first_port}"
+        own_desk = desk.Desk(
+            self._store,
+            self._follower,
+            explain=self._explain,
+            dump=self._dump,
+            analyst_token=own["analyst_token"].value,
+        )
+        self._own_server = server.Server(self._own_address, own_desk.handle)
         self._is_leaving = False
         self._terms = 0
         self._scheduling = trio.CancelScope()
@@ -56,7 +70,7 @@
                 self._follower.run,
                 self._front.run,
                 self._ready.run,
-                self._metrics.run,
+                self._own_server.run,
                 self._schedule,
             ):
                 nursery.start_soon(part)
@@ -72,8 +86,26 @@
         )
         return server.Answer(200 if is_ready else 503)
 
-    async def _answer_metrics(self, _req: server.Request) -> server.Answer:
-        return server.Answer(200, figures.render().encode(), (("Content-Type", "text/plain"),))
+    def _explain(self, job: ids.JobId) -> str | None:
+        return None if self._term is None else self._term.explain(job)
+
+    def _dump(self) -> dict[str, Any]:
+        """Return what this process knows, without secrets."""
+        current = self._follower.current
+        return {
+            "instance": self._cfg.instance,
+            "data_centre": self._cfg.data_centre,
+            "settings": {
+                name: {"value": item.shown, "origin": item.origin.value}
+                for name, item in self._own.items()
+            },
+            "platform": msgspec.to_builtins(self._cfg),
+            "process": dump.process_figures(),
+            "configuration_version": None if current is None else current.version,
+            "is_store_in_contact": self._follower.is_in_contact,
+            "is_leaving": self._is_leaving,
+            "term": None if self._term is None else self._term.dump(),
+        }
 
     async def _wait_for_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -101,6 +133,7 @@
             self._store,
             self._cfg.instance,
             ttl_s=max(lease.TTL_S, self._cfg.min_lease_s),
+            address=self._own_address,
             is_restart=self._terms == 0,
             delay_s=max(0.0, WANTED_CORES - self._cfg.cores) * DELAY_S_PER_CORE,
         )
@@ -116,11 +149,14 @@
                     advice_address=self._cfg.advice_address,
                     machine_calls=self._machine_calls(held.epoch),
                     quiet_s=self._cfg.duty_lease_s,
+                    keep_s=max(self._own["history_s"].value, self._cfg.status_s),
                 )
+                self._term = current
                 await current.run()
         except* errors.BronzequayError as group:
             _log.warning("term_ended", epoch=held.epoch, reason=str(_first(group)))
         finally:
+            self._term = None
             await lease.release(self._store, held)
 
     def _machine_calls(self, epoch: ids.Epoch) -> machines.Machines | None:
@@ -143,9 +179,10 @@
     """Run one instance; expected errors end as one line."""
     try:
         cfg = settings.load()
-        log.configure(level="info", instance=cfg.instance)
-        _log.info("started", data_centre=cfg.data_centre)
-        trio.run(Node(cfg).run)
+        own = node.resolve()
+        log.configure(level=own["log_level"].value, instance=cfg.instance)
+        _log.info("started", data_centre=cfg.data_centre, own_port=cfg.first_port)
+        trio.run(Node(cfg, own).run)
         _log.info("stopped")
     except errors.BronzequayError as exc:
         sys.stderr.write(f"bronzequay-node: {exc}\n")
--- /dev/null
+++ b/src/bronzequay/own/__init__.py
@@ -0,0 +1,1 @@
+"""The project's own interface on the platform: jobs, reasons, hire sheet, state, metrics."""
--- a/src/bronzequay/platform/ingress.py
+++ b/src/bronzequay/platform/ingress.py
@@ -55,10 +55,17 @@
 
 
 def decode_job(
-    body: bytes, *, job: ids.JobId, queue: ids.QueueId, org: ids.OrgId, accepted_s: float
+    body: bytes,
+    *,
+    job: ids.JobId,
+    queue: ids.QueueId,
+    org: ids.OrgId,
+    version: int,
+    accepted_s: float,
 ) -> model.JobSpec:
     """Decode a submitted job.
 
+    :param version: of the configuration in force
     :raises errors.BronzequayError: MALFORMED_BODY or VALUE_OUT_OF_RANGE
     """
     try:
@@ -73,6 +80,7 @@
         payload=wire.spec,
         steps=tuple(map(_step, wire.steps)),
         accepted_s=accepted_s,
+        version=version,
         times=wire.times,
         # The wire's name says a delay; it is the Unix time of the first occurrence.
         first_due_s=wire.initial_delay_ms / 1000,
--- a/src/bronzequay/platform/kv.py
+++ b/src/bronzequay/platform/kv.py
@@ -48,6 +48,14 @@
     rev: ids.Revision
 
 
+class Page(msgspec.Struct, frozen=True):
+    """Some items of a prefix, and whether there are more after them."""
+
+    items: tuple[Item, ...]
+    rev: ids.Revision
+    has_more: bool
+
+
 class Put(msgspec.Struct, frozen=True):
     """One write of a transaction; the key ends with the lease, if there is one."""
 
@@ -135,18 +143,31 @@
         """
         found: list[Item] = []
         rev: ids.Revision | None = None
+        after = ""
+        while True:
+            page = await self.page(prefix, after=after, is_stale_ok=is_stale_ok)
+            found.extend(page.items)
+            rev = page.rev if rev is None else rev
+            if not page.has_more:
+                return Snapshot(tuple(found), rev)
+            after = page.items[-1].key
+
+    async def page(self, prefix: str, *, after: str = "", is_stale_ok: bool = False) -> Page:
+        """Read some of the items under a prefix, in the order of their keys.
+
+        :param after: the last key of the page before, empty for the first
+        :param is_stale_ok: whether the answer may be seconds old, at a tenth of the price
+        """
         query = {"prefix": prefix}
+        if after:
+            query["after"] = after
         if is_stale_ok:
             query["serializable"] = "1"
-        while True:
-            path = f"/kv-range?{urllib.parse.urlencode(query)}"
-            resp = await self._call("GET", path, prefix)
-            page = _decode(_check(resp, prefix), _Range)
-            found.extend(map(_item, page.items))
-            rev = ids.Revision(page.at) if rev is None else rev
-            if not page.hasMore or not page.items:
-                return Snapshot(tuple(found), rev)
-            query["after"] = page.items[-1].key
+        path = f"/kv-range?{urllib.parse.urlencode(query)}"
+        resp = await self._call("GET", path, prefix)
+        found = _decode(_check(resp, prefix), _Range)
+        items = tuple(map(_item, found.items))
+        return Page(items, ids.Revision(found.at), found.hasMore and bool(items))
 
     async def watch(self, prefix: str, *, after: ids.Revision, wait_s: float) -> Snapshot:
         """Wait for changes under a prefix.
@@ -297,6 +318,7 @@
     "Conflict",
     "Item",
     "Lease",
+    "Page",
     "Put",
     "Snapshot",
     "Store",
--- a/tests/cfg/test_settings.py
+++ b/tests/cfg/test_settings.py
@@ -4,6 +4,7 @@
 
 from bronzequay import codes, errors
 from bronzequay.cfg import entry, settings
+from bronzequay.cfg import flags as command_flags
 
 REQUIRED = {"instance": "e1"}
 
@@ -45,7 +46,7 @@
 def test_a_secret_is_never_shown_and_has_no_flag() -> None:
     found = resolve(environ={"BRONZEQUAY_OPERATOR_TOKENS": "olga=operator:hush"})
     assert found["operator_tokens"].shown == settings.MASK
-    flags = settings.parse_flags(entry.DECLARED, program="p", description="d", argv=[])
+    flags = command_flags.parse(entry.DECLARED, program="p", description="d", argv=[])
     assert "operator_tokens" not in flags
 
 
--- a/tests/control/site.py
+++ b/tests/control/site.py
@@ -9,7 +9,7 @@
 import trio
 
 from bronzequay import errors, ids
-from bronzequay.control import keys, lease, term
+from bronzequay.control import keys, lease, status, term
 from bronzequay.core import model
 from bronzequay.fakes import advice, executors, kv, machines
 from bronzequay.front import follow, handler
@@ -60,7 +60,7 @@
         self.advice_address = ""
         self.machine_address = ""
         self.scopes: dict[str, trio.CancelScope] = {}
-        self.frozen: dict[str, trio.Event] = {}
+        self.terms: dict[str, term.Term] = {}
         self._jobs = 0
 
     def configure(self, wire: object) -> None:
@@ -149,6 +149,7 @@
                             machine_calls=self._machine_calls(name, held.epoch),
                             quiet_s=DUTY_LEASE_S,
                         )
+                        self.terms[name] = current
                         await current.run()
                 except* errors.BronzequayError:
                     pass
@@ -195,8 +196,8 @@
             steps=steps or (model.Step(need=model.Resources(1000, 1000, 1), estimate_s=1.0),),
             accepted_s=1000.0 + trio.current_time(),
         )
-        status = keys.Status(model.JobState.QUEUED.value, spec.org)
-        self.kv.put(keys.state(job), msgspec.msgpack.encode(status))
+        told = status.of_spec(spec, model.JobState.QUEUED)
+        self.kv.put(keys.state(job), status.encode(told))
         self.kv.put(keys.job(job), msgspec.msgpack.encode(spec))
         self.kv.put(keys.waiting(spec.queue, job), b"")
         return job
@@ -209,7 +210,7 @@
         """Return what callers are told of a job."""
         value = self.kv.get(keys.state(job))
         assert value is not None
-        return msgspec.msgpack.decode(value, type=keys.Status).state
+        return status.decode(value).state
 
     async def wait_for(self, job: ids.JobId, state: str, *, most_s: float = 60.0) -> float:
         """Wait until a job is shown in some state; return how long it took."""
--- /dev/null
+++ b/tests/own/conftest.py
@@ -0,0 +1,7 @@
+"""The in-memory site of the control tests."""
+
+from __future__ import annotations
+
+from tests.control.conftest import site
+
+__all__ = ["site"]
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -20,6 +20,7 @@
         job=ids.JobId("0" * 16),
         queue=ids.QueueId("q"),
         org=ids.OrgId("o"),
+        version=7,
         accepted_s=5.0,
     )
 
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -26,6 +26,7 @@
     "platform": frozenset({"core", "net"}),
     "control": frozenset({"core", "platform"}),
     "front": frozenset({"core", "net", "platform", "control"}),
+    "own": frozenset({"core", "net", "platform", "control", "front", "obs", "policy"}),
     "demo": frozenset({"policy", "fakes", "obs"}),
 }
 
