A late start on a reborn worker has ended before its task starts elsewhere

Now a start counts as unanswered from its sending on, and a barred run as ended once a listing after the stop does not show it; without contact to the next life its longest lease is waited for as well.

--- a/soak/run.py
+++ b/soak/run.py
@@ -73,7 +73,8 @@
     watch = _Watch(site, crowd)
     nursery.start_soon(watch.run)
     first = crowd.draw()
-    await _until(lambda: first.state in callers.FINAL, START_S, crowd, first)
+    nursery.start_soon(crowd.insist, first)
+    await _until(lambda: first.state in callers.FINAL, START_S)
     nursery.start_soon(crowd.run, nursery, JOBS_PER_S)
     nursery.start_soon(crowd.probe_configuration)
     async with trio.open_nursery() as troubles:
@@ -84,7 +85,8 @@
     ended_s = trio.current_time()
     crowd.is_open = False
     probe = crowd.draw()
-    is_back = await _until(lambda: probe.state == "completed", RECOVER_S, crowd, probe)
+    nursery.start_soon(crowd.insist, probe)
+    is_back = await _until(lambda: probe.state == "completed", RECOVER_S)
     recovered_s = trio.current_time() - ended_s if is_back else None
     if not is_back:
         crowd.breaches.append(f"no job was done within {RECOVER_S:g} s after the last fault")
@@ -106,16 +108,11 @@
     )
 
 
-async def _until(
-    is_so: Callable[[], bool], within_s: float, crowd: callers.Callers, job: callers.Job
-) -> bool:
-    """Have a job handed in until it is as wanted."""
+async def _until(is_so: Callable[[], bool], within_s: float) -> bool:
+    """Wait until something is so; false when it takes too long."""
     with trio.move_on_after(within_s):
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(crowd.insist, job)
-            while not is_so():  # noqa: ASYNC110  # polls what callers see
-                await trio.sleep(0.05)
-            nursery.cancel_scope.cancel()
+        while not is_so():  # noqa: ASYNC110  # polls what callers see
+            await trio.sleep(0.05)
         return True
     return False
 
--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -102,20 +102,24 @@
 
     async def _start(self, command: model.Start) -> None:
         """Order a start until it is answered, or have the run stopped."""
+        name = (command.key, command.run)
+        is_retry = False
         for _ in range(START_TRIES):
             await self._term.wait_trusted()
             payload = self._term.payload_for(command)
             if payload is None:
                 return
+            # While the call is under way, too, the life may end and its start still arrive.
+            self._unanswered[name] = (trio.current_time(), command)
             reply = await self.calls.start(
                 command, payload=payload, deadline_ms=self._deadline_ms(), timeout_s=TIMEOUT_S
             )
+            is_retry |= reply.outcome is workers.Outcome.UNKNOWN
+            if not is_retry:
+                del self._unanswered[name]
             if reply.outcome not in _SILENT:
-                self._on_answer(command, reply.outcome)
+                self._on_answer(command, reply.outcome, is_retry=is_retry)
                 return
-            if reply.outcome is workers.Outcome.UNKNOWN:
-                name = (command.key, command.run)
-                self._unanswered[name] = (trio.current_time(), command)
         self._term.post(lambda state: lifecycle.give_up(state, command))
 
     async def _pace(self, command: model.Pace) -> None:
@@ -126,8 +130,11 @@
         if reply.outcome is not workers.Outcome.OK:
             self._term.post(lambda state: pacing.note_unpaced(state, command))
 
-    def _on_answer(self, command: model.Start, outcome: workers.Outcome) -> None:
-        is_retry = (command.key, command.run) in self._unanswered
+    def _on_answer(self, command: model.Start, outcome: workers.Outcome, *, is_retry: bool) -> None:
+        """Act on an answer.
+
+        :param is_retry: whether an earlier try went unanswered and may still be carried out
+        """
         if outcome is workers.Outcome.OK:
             self._settle(command)
             self._term.post(
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -141,11 +141,14 @@
         barred = {(start.key, start.run) for start in unanswered}
         self._term.post(lambda state: lifecycle.remove_worker(state, ended.worker, barred))
         if unanswered:
-            self._nursery.start_soon(self._end_late, unanswered)
+            self._nursery.start_soon(self._end_late, executor, unanswered)
 
-    async def _end_late(self, starts: tuple[model.Start, ...]) -> None:
+    async def _end_late(self, executor: ids.ExecutorId, starts: tuple[model.Start, ...]) -> None:
         """End runs that no later life has barred, once their starts cannot arrive any more."""
         await trio.sleep(delivery.LATE_S)
+        if executor in self._sessions:
+            # One may have arrived there, and the life may not have been reached to bar it.
+            await trio.sleep(self._term.max_hold_s / session.SLOW_CLOCK)
         for start in starts:
             self._term.post(functools.partial(delivery.end_lost, start=start))
 
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 from typing import TYPE_CHECKING
 
 import structlog
@@ -59,6 +58,7 @@
         self.is_listed = True
         self.orders = delivery.Delivery(entry, term, self._start_deadline)
         self._barred = barred
+        self._stopped_s: dict[model.Start, float] = {}
         self._reborn_s = clock.boot_s() if barred else float("-inf")
         self._term = term
         self._scope = trio.CancelScope()
@@ -97,9 +97,9 @@
         return (*self.orders.unanswered(), *self._barred)
 
     async def _bar(self, start: model.Start) -> None:
-        """Bar a start that an earlier life did not answer, then let its task go on."""
+        """Bar a start that an earlier life did not answer, or stop it if it has begun here."""
         await self.orders.stop(model.Stop(self.worker, start.key, start.run))
-        self._term.post(functools.partial(delivery.end_lost, start=start))
+        self._stopped_s[start] = trio.current_time()
 
     async def _keep(self) -> None:
         while True:
@@ -235,12 +235,22 @@
         self.orders.keep({(key, task.run) for key, task in worker.tasks.items()})
         worker.strays &= listed
         lifecycle.stop_strays(state, worker, listed)
+        self._end_barred(state, listed, sent_s)
         if is_first:
             worker.is_ready = state.is_changed = True
             for task in worker.tasks.values():
                 if task.phase is model.Phase.STOPPING:
                     state.commands.append(model.Stop(self.worker, task.key, task.run))
 
+    def _end_barred(
+        self, state: State, listed: set[tuple[model.TaskKey, int]], sent_s: float
+    ) -> None:
+        """Let tasks go on whose barred runs a later listing does not show."""
+        for start, stopped_s in list(self._stopped_s.items()):
+            if stopped_s < sent_s and (start.key, start.run) not in listed:
+                del self._stopped_s[start]
+                delivery.end_lost(state, start)
+
     def _reconcile(
         self,
         state: State,
@@ -268,4 +278,4 @@
             task.checkpoint = run.checkpoint or task.checkpoint
 
 
-__all__ = ["CONTACT_S", "HOLD_S", "LAPSE_S", "Session"]
+__all__ = ["CONTACT_S", "HOLD_S", "LAPSE_S", "SLOW_CLOCK", "Session"]
--- a/tests/control/test_term.py
+++ b/tests/control/test_term.py
@@ -184,6 +184,27 @@
     site.check()
 
 
+async def test_a_late_start_on_a_later_life_has_ended_before_its_task_starts_elsewhere(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    executor = site.add_executor(1)
+    site.start_scheduler("a")
+    await site.wait_until(site.leader)
+    await trio.sleep(1.0)
+    executor.answer_lost["/run-start"] = 1
+    executor.late_s, executor.late_outlives = 0.3, True
+    site.submit(plan=executors.Plan(run_s=4.0))
+    await trio.sleep(0.1)
+    site.add_executor(2)
+    site.crash(executor)
+    await trio.sleep(0.1)
+    site.reboot(executor)
+    await site.wait_until(lambda: executor.runs, most_s=1.0)
+    await trio.sleep(10.0)
+    assert len(site.events("start")) == 2
+    site.check()
+
+
 async def test_what_ran_on_a_crashed_worker_runs_again_once_its_lease_has_lapsed(
     autojump_clock: MockClock, site: Site
 ) -> None:
