Logs are bounded and never wait; every request's outcome and reason is logged

Cause: a reader that falls behind would have stopped an instance, a flood would have filled the log, and refusals, reads of a job's state and queues left no line.

--- a/src/bronzequay/front/handler.py
+++ b/src/bronzequay/front/handler.py
@@ -8,7 +8,7 @@
 import structlog
 import trio
 
-from bronzequay import clock, codes, errors, ids
+from bronzequay import clock, codes, errors, figures, ids
 from bronzequay.control import keys, status
 from bronzequay.core import model
 from bronzequay.net import server
@@ -28,6 +28,7 @@
 ANSWER_MARGIN_S = 0.2
 """Part of a caller's time that is left for the answer's way back."""
 DEFAULT_TIMEOUT_S = 3.0
+_REJECTIONS = frozenset({400, 401, 404, 405, 413})
 NO_ORG = ids.OrgId("")
 """Of callers of public routes."""
 
@@ -57,7 +58,28 @@
         """Answer one request."""
         current = self._follower.current
         if current is None:
+            _log.warning("request_refused", path=req.path, status=503, why="no configuration yet")
             return _refuse(503)
+        began_s = trio.current_time()
+        try:
+            return await self._answer(current, req)
+        finally:
+            figures.observe("answer", trio.current_time() - began_s)
+
+    async def _answer(self, current: Configuration, req: server.Request) -> server.Answer:
+        answer = await self._on_route(current, req)
+        if answer.status in _REJECTIONS:
+            _log.info(
+                "request_rejected",
+                method=req.method,
+                path=req.path,
+                status=answer.status,
+                version=current.version,
+            )
+        figures.count(f'answers{{method="{req.method}",status="{answer.status}"}}')
+        return answer
+
+    async def _on_route(self, current: Configuration, req: server.Request) -> server.Answer:
         route = _route(current, req)
         if route is None:
             return server.Answer(404)
@@ -104,7 +126,14 @@
         if not spec.times:
             puts.append(kv.Put(keys.waiting(queue, job), b""))
         answer = await self._write(job, [(keys.state(job), kv.ABSENT)], puts, call.req)
-        _log.info("job_submitted", job=job, queue=queue, org=call.org, status=answer.status)
+        _log.info(
+            "job_submitted",
+            job=job,
+            queue=queue,
+            org=call.org,
+            version=version,
+            status=answer.status,
+        )
         return answer
 
     async def _cancel(self, call: _Call) -> server.Answer:
@@ -112,6 +141,7 @@
         try:
             found = await self._store.get(keys.state(job))
         except errors.BronzequayError as exc:
+            _log.warning("job_not_read", job=job, error=str(exc))
             return _refuse(503, exc)
         told = _status(found, call)
         if told is None:
@@ -153,8 +183,12 @@
         try:
             found = await self._store.get(keys.state(call.job))
         except errors.BronzequayError as exc:
+            _log.warning("job_not_read", job=call.job, error=str(exc))
             return _refuse(503, exc)
         told = _status(found, call)
+        revision = None if found is None else found.rev
+        state = None if told is None else told.state
+        _log.info("job_asked", job=call.job, state=state, revision=revision)
         if told is None:
             return server.Answer(410)
         return server.Answer(200, ingress.encode_state(model.JobState(told.state)))
@@ -163,6 +197,7 @@
         try:
             found = await self._store.range(keys.waiting_in(route.queue))
         except errors.BronzequayError as exc:
+            _log.warning("queue_not_read", queue=route.queue, error=str(exc))
             return _refuse(503, exc)
         return server.Answer(200, ingress.encode_waiting(len(found.items)))
 
--- a/src/bronzequay/net/server.py
+++ b/src/bronzequay/net/server.py
@@ -172,7 +172,7 @@
             if reader.size > MAX_BODY_BYTES:
                 answer = Answer(413)
             else:
-                answer = await self._handle(req)
+                answer = await self._handled(req)
             keep = reader.is_kept and not self._is_closing
             await stream.send_all(_encode(answer, keep=keep))
         finally:
@@ -180,6 +180,13 @@
             self._last_request_s = trio.current_time()
         return keep
 
+    async def _handled(self, req: Request) -> Answer:
+        try:
+            return await self._handle(req)
+        except Exception:  # noqa: BLE001  # one bug must not end the process
+            _log.exception("request_failed", method=req.method, path=req.path)
+            return Answer(500)
+
 
 async def _send_quietly(stream: trio.SocketStream, data: bytes) -> None:
     try:
--- a/src/bronzequay/obs/log.py
+++ b/src/bronzequay/obs/log.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import logging
-import sys
 from typing import TYPE_CHECKING
 
 import structlog
 
+from bronzequay.obs import output
+
 if TYPE_CHECKING:
     from bronzequay import ids
 
@@ -20,8 +21,18 @@
     :param level: least level to write
     :param instance: added to each line
     """
+    lines = output.standard()
+
+    def limit(
+        _logger: object, _method: str, event: structlog.typing.EventDict
+    ) -> structlog.typing.EventDict:
+        if not lines.may_write(str(event.get("event"))):
+            raise structlog.DropEvent
+        return event
+
     structlog.configure(
         processors=[
+            limit,
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
@@ -32,7 +43,7 @@
             ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stdout),
+        logger_factory=lambda *_: lines,
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(instance=instance)
--- a/tests/net/test_exchange.py
+++ b/tests/net/test_exchange.py
@@ -162,3 +162,16 @@
             await trio.sleep(0.1)
         nursery.cancel_scope.cancel()
     assert accepted == 2
+
+
+async def test_a_request_that_fails_does_not_end_the_server() -> None:
+    async def handle(req: server.Request) -> server.Answer:
+        if req.path == "/bad":
+            raise ValueError("a bug")
+        return await echo(req)
+
+    async with trio.open_nursery() as nursery:
+        _, calls = await serving(nursery, handle)
+        assert (await calls.request("GET", "/bad", timeout_s=2)).status == 500
+        assert (await calls.request("GET", "/good", timeout_s=2)).status == 200
+        nursery.cancel_scope.cancel()
