--- a/src/bronzequay/core/reserve.py
+++ b/src/bronzequay/core/reserve.py
@@ -13,6 +13,9 @@
 
 SOON_S = 0.7
 """Work that ends within this time is awaited; a stop takes up to 0.9 s."""
+OVERRUN_S = 0.3
+"""Time after its expected end for which a run still counts as about to end; a listing of its
+progress comes each second."""
 STOP_S = 0.9
 """Longest time that a stop takes."""
 REPLAN_S = 1.0
@@ -82,7 +85,9 @@
         return True
     if is_certain or task.phase is not model.Phase.RUNNING or step.spec.is_endless:
         return False
-    return -SOON_S < states.rest_s(step, task, state.now_s) < SOON_S
+    if states.speed(task) is None:
+        return False
+    return -OVERRUN_S < states.rest_s(step, task, state.now_s) < SOON_S
 
 
 def await_room(state: State, step: StepRun, view: place.View) -> Claim | None:
--- a/tests/core/test_schedule.py
+++ b/tests/core/test_schedule.py
@@ -250,3 +250,17 @@
     task.last_seen = (0.0, 40.0)
     lifecycle.accept(state, world.job(2, world.step(1, gpu=4), priority=0, org="small"))
     assert [each.key for each in stops(decided(state, 2.0))] == []
+
+
+@pytest.mark.parametrize(("percent", "stopped"), [(95.0, 0), (50.0, 1), (None, 1)])
+def test_urgent_work_waits_only_for_ends_that_measured_progress_promises(
+    percent: float | None, stopped: int
+) -> None:
+    state = ready(1)
+    lifecycle.accept(state, world.job(1, world.step(1, gpu=8, estimate_s=2.0), priority=2))
+    confirm_all(state, decided(state))
+    (task,) = state.workers[ids.WorkerId("w0@1")].tasks.values()
+    if percent is not None:
+        task.first_seen, task.last_seen = (0.0, 0.0), (1.9, percent)
+    lifecycle.accept(state, world.job(2, world.step(1, gpu=8), priority=0, org="none"))
+    assert len(stops(decided(state, 1.9))) == stopped
