--- a/tests/core/test_schedule.py
+++ b/tests/core/test_schedule.py
@@ -262,5 +262,6 @@
     (task,) = state.workers[ids.WorkerId("w0@1")].tasks.values()
     if percent is not None:
         task.first_seen, task.last_seen = (0.0, 0.0), (1.9, percent)
-    lifecycle.accept(state, world.job(2, world.step(1, gpu=8), priority=0, org="none"))
+    urgent = world.job(2, world.step(1, gpu=8), priority=0, org="none", accepted_s=1.9)
+    lifecycle.accept(state, urgent)
     assert len(stops(decided(state, 1.9))) == stopped
