--- a/src/bronzequay/cli/pages.py
+++ b/src/bronzequay/cli/pages.py
@@ -8,7 +8,7 @@
 
 import cappa
 
-from bronzequay.cfg import entry
+from bronzequay.cfg import entry, node
 from bronzequay.cli import registry
 from bronzequay.obs import pages
 
@@ -23,7 +23,7 @@
     def __call__(self) -> None:
         """Write the pages."""
         (self.folder / "result-codes.md").write_text(pages.result_codes(), encoding="utf-8")
-        settings = pages.entry_settings(entry.DECLARED)
+        settings = pages.all_settings(entry.DECLARED, node.DECLARED)
         (self.folder / "reference" / "settings.md").write_text(settings, encoding="utf-8")
 
 
--- a/src/bronzequay/obs/pages.py
+++ b/src/bronzequay/obs/pages.py
@@ -23,32 +23,39 @@
     )
 
 
-def entry_settings(declared: Iterable[settings.Setting]) -> str:
-    """Return the page of the entry instance's settings, in Markdown.
+def all_settings(entry: Iterable[settings.Setting], node: Iterable[settings.Setting]) -> str:
+    """Return the page of all settings, in Markdown.
 
-    :param declared: the settings
+    :param entry: settings of an entry instance
+    :param node: own settings of an instance on the users' platform
     """
-    rows = [
-        (
-            "" if item.is_secret else f"`{item.flag}`",
-            f"`{item.variable}`",
-            "required" if item.default is None else f"`{item.default}`" if item.default else "",
-            item.unit,
-            item.description,
-        )
-        for item in declared
-    ]
     return (
         "# Settings of bronzequay-entry\n\n"
         "A flag goes before its variable, a variable before the default. "
         "`bronzequay settings` shows each with its origin.\n\n"
-        + _table(("flag", "variable", "default", "unit", "description"), rows)
+        + _settings(entry, has_flags=True)
+        + "\n# Own settings of bronzequay.node\n\n"
+        "An instance on the users' platform reads its addresses and bounds from the platform's "
+        "settings file, and these from the environment; `GET /v1/state` shows them.\n\n"
+        + _settings(node, has_flags=False)
     )
 
 
+def _settings(declared: Iterable[settings.Setting], *, has_flags: bool) -> str:
+    rows = []
+    for item in declared:
+        default = f"`{item.default}`" if item.default else ""
+        shown = "required" if item.default is None else default
+        row = (f"`{item.variable}`", shown, item.unit, item.description)
+        flag = "" if item.is_secret else f"`{item.flag}`"
+        rows.append((flag, *row) if has_flags else row)
+    head = ("variable", "default", "unit", "description")
+    return _table(("flag", *head) if has_flags else head, rows)
+
+
 def _table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
     lines = [head, ["---"] * len(head), *rows]
     return "".join(f"| {' | '.join(line)} |\n" for line in lines)
 
 
-__all__ = ["entry_settings", "result_codes"]
+__all__ = ["all_settings", "result_codes"]
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,7 +6,7 @@
 import re
 
 from bronzequay import codes
-from bronzequay.cfg import entry
+from bronzequay.cfg import entry, node
 from bronzequay.obs import pages
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -19,7 +19,7 @@
 
 def test_the_page_of_settings_is_in_step() -> None:
     page = (DOCS / "reference" / "settings.md").read_text(encoding="utf-8")
-    assert page == pages.entry_settings(entry.DECLARED)
+    assert page == pages.all_settings(entry.DECLARED, node.DECLARED)
 
 
 def test_every_code_has_a_meaning() -> None:
