One way to follow a prefix of the store; one declaration of the log level

Three loops watched a prefix, read it again after lost history and waited after failed calls; they now share `control/prefix.py`. No change of behaviour but the name of one log event (`prefix_unreadable`).

--- a/src/bronzequay/cfg/entry.py
+++ b/src/bronzequay/cfg/entry.py
@@ -107,13 +107,7 @@
         description="IP number and port of the statsd daemon; empty sends none",
         parse=settings.any_text,
     ),
-    settings.Setting(
-        name="log_level",
-        default="info",
-        unit="",
-        description="least level of the events logged",
-        parse=settings.choice("debug", "info", "warning", "error"),
-    ),
+    settings.LOG_LEVEL,
     settings.Setting(
         name="operator_tokens",
         default="",
--- a/src/bronzequay/cfg/node.py
+++ b/src/bronzequay/cfg/node.py
@@ -14,13 +14,7 @@
 MAX_S = 366.0 * DAY_S
 
 DECLARED = (
-    settings.Setting(
-        name="log_level",
-        default="info",
-        unit="",
-        description="least level of the events logged",
-        parse=settings.choice("debug", "info", "warning", "error"),
-    ),
+    settings.LOG_LEVEL,
     settings.Setting(
         name="history_s",
         default=str(7 * DAY_S),
--- a/src/bronzequay/cfg/settings.py
+++ b/src/bronzequay/cfg/settings.py
@@ -192,9 +192,19 @@
     return Resolved(setting, value, origin)
 
 
+LOG_LEVEL = Setting(
+    name="log_level",
+    default="info",
+    unit="",
+    description="least level of the events logged",
+    parse=choice("debug", "info", "warning", "error"),
+)
+"""The same for every daemon."""
+
 __all__ = [
     "CLIENT_VARIABLES",
     "ENV_PREFIX",
+    "LOG_LEVEL",
     "MASK",
     "MAX_PORT",
     "Origin",
--- a/src/bronzequay/control/intake.py
+++ b/src/bronzequay/control/intake.py
@@ -9,8 +9,7 @@
 import structlog
 import trio
 
-from bronzequay import codes, errors
-from bronzequay.control import keys
+from bronzequay.control import keys, prefix
 from bronzequay.core import lifecycle, model, records
 from bronzequay.platform import kv
 
@@ -25,7 +24,6 @@
 
 WATCH_S = 1.5
 """Wait of one watch; a silent connection is noticed after it."""
-RETRY_S = 0.2
 
 _log = structlog.get_logger()
 
@@ -70,26 +68,17 @@
 
     async def run(self) -> None:
         """Follow the keys until cancelled."""
-        while True:
-            try:
-                changes = await self._store.watch(keys.INBOX, after=self._rev, wait_s=WATCH_S)
-            except errors.BronzequayError as exc:
-                if exc.code is not codes.ResultCode.HISTORY_LOST:
-                    await trio.sleep(RETRY_S)
-                    continue
-                _log.warning("history_lost", prefix=keys.INBOX, after=self._rev)
-                changes = await self._read_again()
-            self._rev = changes.rev
-            if changes.items:
-                self._term.post(functools.partial(self._apply, items=changes.items))
-
-    async def _read_again(self) -> Snapshot:
-        while True:
-            try:
-                return await self._store.range(keys.INBOX)
-            except errors.BronzequayError as exc:
-                _log.warning("inbox_unreadable", error=str(exc))
-                await trio.sleep(RETRY_S)
+        await prefix.follow(
+            self._store,
+            keys.INBOX,
+            self._rev,
+            on_change=self._post,
+            on_reading=self._post,
+            wait_s=WATCH_S,
+        )
+
+    def _post(self, items: tuple[Item, ...]) -> None:
+        self._term.post(functools.partial(self._apply, items=items))
 
     def _apply(self, state: State, items: tuple[Item, ...]) -> None:
         for spec in _specs(items):
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -8,8 +8,7 @@
 import structlog
 import trio
 
-from bronzequay import codes, errors
-from bronzequay.control import delivery, session
+from bronzequay.control import delivery, prefix, session
 from bronzequay.core import lifecycle, model
 from bronzequay.platform import workers
 
@@ -23,7 +22,6 @@
 """Wait of one watch; a silent connection is noticed after it."""
 PAUSE_S = 0.4
 """Workers report every 1.5 s each; a draining one may be started on for 2 s more."""
-RETRY_S = 0.2
 LEAVE_S = 2.0
 """Least time until a draining worker leaves when it does not say how much; ``drainMs``."""
 
@@ -58,35 +56,27 @@
         """Open a session for each worker and follow the entries until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            rev = await self._read()
-            while True:
-                try:
-                    changes = await self._store.watch(workers.PREFIX, after=rev, wait_s=WATCH_S)
-                except errors.BronzequayError as exc:
-                    if exc.code is codes.ResultCode.HISTORY_LOST:
-                        rev = await self._read()
-                    else:
-                        await trio.sleep(RETRY_S)
-                    continue
-                rev = changes.rev
-                for item in changes.items:
-                    self._on_item(item)
-                await trio.sleep(PAUSE_S)
-
-    async def _read(self) -> ids.Revision:
-        while True:
-            try:
-                found = await self._store.range(workers.PREFIX)
-            except errors.BronzequayError as exc:
-                _log.warning("workers_unreadable", error=str(exc))
-                await trio.sleep(RETRY_S)
-                continue
-            listed = {workers.executor_in(item.key) for item in found.items}
-            for executor in set(self._sessions) - listed:
-                self._on_gone(executor)
-            for item in found.items:
-                self._on_item(item)
-            return found.rev
+            found = await prefix.read(self._store, workers.PREFIX)
+            self._on_reading(found.items)
+            await prefix.follow(
+                self._store,
+                workers.PREFIX,
+                found.rev,
+                on_change=self._on_change,
+                on_reading=self._on_reading,
+                wait_s=WATCH_S,
+                pause_s=PAUSE_S,
+            )
+
+    def _on_reading(self, items: tuple[Item, ...]) -> None:
+        listed = {workers.executor_in(item.key) for item in items}
+        for executor in set(self._sessions) - listed:
+            self._on_gone(executor)
+        self._on_change(items)
+
+    def _on_change(self, items: tuple[Item, ...]) -> None:
+        for item in items:
+            self._on_item(item)
 
     def _on_item(self, item: Item) -> None:
         executor = workers.executor_in(item.key)
--- a/src/bronzequay/control/upkeep.py
+++ b/src/bronzequay/control/upkeep.py
@@ -10,14 +10,13 @@
 import trio
 
 from bronzequay import clock, codes, errors
-from bronzequay.control import keys
+from bronzequay.control import keys, prefix
 from bronzequay.core import model, upkeep
 from bronzequay.platform import machines
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from bronzequay import ids
     from bronzequay.control.term import Term
     from bronzequay.core.state import State
     from bronzequay.platform.kv import Item, Store
@@ -67,29 +66,16 @@
                 nursery.start_soon(self._order, command)
 
     async def _follow(self) -> None:
-        rev = await self._read()
-        while True:
-            try:
-                changes = await self._store.watch(machines.WAVES, after=rev, wait_s=WATCH_S)
-            except errors.BronzequayError as exc:
-                if exc.code is codes.ResultCode.HISTORY_LOST:
-                    rev = await self._read()
-                else:
-                    await trio.sleep(RETRY_S)
-                continue
-            rev = changes.rev
-            self._post(changes.items)
-
-    async def _read(self) -> ids.Revision:
-        while True:
-            try:
-                found = await self._store.range(machines.WAVES)
-            except errors.BronzequayError as exc:
-                _log.warning("waves_unreadable", error=str(exc))
-                await trio.sleep(RETRY_S)
-            else:
-                self._post(found.items)
-                return found.rev
+        found = await prefix.read(self._store, machines.WAVES)
+        self._post(found.items)
+        await prefix.follow(
+            self._store,
+            machines.WAVES,
+            found.rev,
+            on_change=self._post,
+            on_reading=self._post,
+            wait_s=WATCH_S,
+        )
 
     def _post(self, items: Iterable[Item]) -> None:
         for item in items:
