A start that the next life of a worker has accepted is stopped there first

A start meant for the life before was accepted by the next one, whose answer names no life; the scheduler took it for the life before, counted the run as lost with it and started the task elsewhere beside it. Now an answer whose clock is behind the life's own counts as of a later life: the start stays unanswered, so that the next life is told to stop it before the task goes on. Ruled out: a late order (none was lost), a lapsed lease. The new test of a term fails before.

--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -16,6 +16,9 @@
 REGRESSIONS = (
     Regression(101, 25.0, "a kept connection was used after its peer had closed it"),
     Regression(102, 25.0, "a kept connection was used after its peer had closed it"),
+    Regression(
+        4, 25.0, "a start was accepted by the next life of its worker before that was known"
+    ),
     Regression(208, 25.0, "a start under way at the end of a life reached the next one"),
 )
 
--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -24,6 +24,10 @@
 RETRY_S = 0.2
 REFUSED_PAUSE_S = 1.0
 """Time without starts after a worker refused one."""
+SLOW_CLOCK = 0.98
+"""A worker's clock may be this much slower than ours."""
+CLOCK_SLACK_MS = 500.0
+"""Difference of clocks that delayed answers explain."""
 LATE_S = 15.0
 """Time for which an unanswered order may still be carried out; 12 s are known of."""
 
@@ -39,14 +43,23 @@
     :param entry: as the store lists the executor
     :param term: whose orders these are
     :param deadline_ms: gives the end of the lease for a start that is sent now
+    :param clock_ms: gives the time on the clock of this life
     :ivar calls: to the executor
     """
 
-    def __init__(self, entry: workers.Entry, term: Term, deadline_ms: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        entry: workers.Entry,
+        term: Term,
+        *,
+        deadline_ms: Callable[[], float],
+        clock_ms: Callable[[], float],
+    ) -> None:
         self.calls = workers.Orders(entry.executor, entry.address, term.epoch)
         self._worker = entry.spec.worker
         self._term = term
         self._deadline_ms = deadline_ms
+        self._clock_ms = clock_ms
         self._settled_s: dict[tuple[model.TaskKey, int], float] = {}
         self._unanswered: dict[tuple[model.TaskKey, int], tuple[float, model.Start]] = {}
         self._send, self._receive = trio.open_memory_channel[model.Command](float("inf"))
@@ -115,6 +128,9 @@
                 command, payload=payload, deadline_ms=self._deadline_ms(), timeout_s=TIMEOUT_S
             )
             is_retry |= reply.outcome is workers.Outcome.UNKNOWN
+            if self._is_of_later_life(reply):
+                _log.info("later_life_answered", worker=self._worker, job=command.key.job)
+                break
             if not is_retry:
                 del self._unanswered[name]
             if reply.outcome not in _SILENT:
@@ -122,6 +138,12 @@
                 return
         self._term.post(lambda state: lifecycle.give_up(state, command))
 
+    def _is_of_later_life(self, reply: workers.Reply) -> bool:
+        """Return whether a later life under the same id answered; its clock began anew."""
+        if reply.clock_ms is None:
+            return False
+        return reply.clock_ms < self._clock_ms() * SLOW_CLOCK - CLOCK_SLACK_MS
+
     async def _pace(self, command: model.Pace) -> None:
         """Order a pace once; without an answer the next listing leads to another order."""
         await self._term.wait_trusted()
@@ -182,4 +204,4 @@
     lifecycle.end(state, command.worker, command.key, command.run, model.End.NEVER_RAN)
 
 
-__all__ = ["LATE_S", "Delivery", "end_lost"]
+__all__ = ["LATE_S", "SLOW_CLOCK", "Delivery", "end_lost"]
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -138,7 +138,7 @@
         await trio.sleep(delivery.LATE_S)
         if executor in self._sessions:
             # One may have arrived there, and the life may not have been reached to bar it.
-            await trio.sleep(self._term.max_hold_s / session.SLOW_CLOCK)
+            await trio.sleep(self._term.max_hold_s / delivery.SLOW_CLOCK)
         for start in starts:
             self._term.post(functools.partial(delivery.end_lost, start=start))
 
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -29,9 +29,7 @@
 RETRY_S = 0.2
 DURABLE_WAIT_S = 0.5
 """Wait for the journal before the lease is renewed with the ends still unseen."""
-SLOW_CLOCK = 0.98
-"""A worker's clock may be this much slower than ours."""
-LAPSE_S = CONTACT_S + HOLD_S / SLOW_CLOCK + 0.5
+LAPSE_S = CONTACT_S + HOLD_S / delivery.SLOW_CLOCK + 0.5
 """Time after which nothing runs any more that an earlier term holds on workers out of reach."""
 MAX_LISTED = 500
 """A worker lists this many ends at once."""
@@ -56,7 +54,9 @@
         self.entry = entry
         self.worker = entry.spec.worker
         self.is_listed = True
-        self.orders = delivery.Delivery(entry, term, self._start_deadline)
+        self.orders = delivery.Delivery(
+            entry, term, deadline_ms=self._start_deadline, clock_ms=self._worker_clock_ms
+        )
         self._barred = barred
         self._stopped_s: dict[model.Start, float] = {}
         self._reborn_s = clock.boot_s() if barred else float("-inf")
@@ -152,10 +152,14 @@
             self._deadline_ms = max(self._deadline_ms, deadline_ms)
         return reply
 
+    def _worker_clock_ms(self) -> float:
+        """Return the present time on the worker's clock, if it runs as fast as ours."""
+        assert self._clock_ms is not None  # noqa: S101  # known since the first listing
+        return self._clock_ms + (clock.boot_s() - self._clock_at_s) * 1000
+
     def _lease_end(self) -> float:
         """Return the end of a lease that begins now, on the worker's clock."""
-        assert self._clock_ms is not None  # noqa: S101  # known since the first listing
-        return self._clock_ms + (clock.boot_s() - self._clock_at_s + HOLD_S) * 1000
+        return self._worker_clock_ms() + HOLD_S * 1000
 
     def _start_deadline(self) -> float:
         """Return the end of the lease for a start that is about to be sent."""
@@ -167,7 +171,7 @@
         """Return whether the worker's lease has certainly run out."""
         if self._clock_ms is None:
             return self._term.are_earlier_lapsed
-        passed_s = (clock.boot_s() - self._clock_at_s) * SLOW_CLOCK
+        passed_s = (clock.boot_s() - self._clock_at_s) * delivery.SLOW_CLOCK
         return self._clock_ms + passed_s * 1000 > self._deadline_ms
 
     def _on_silence(self) -> bool:
@@ -278,4 +282,4 @@
             task.checkpoint = run.checkpoint or task.checkpoint
 
 
-__all__ = ["CONTACT_S", "HOLD_S", "LAPSE_S", "SLOW_CLOCK", "Session"]
+__all__ = ["CONTACT_S", "HOLD_S", "LAPSE_S", "Session"]
--- a/src/bronzequay/fakes/executors.py
+++ b/src/bronzequay/fakes/executors.py
@@ -179,6 +179,10 @@
 
     def list_entry(self) -> None:
         """Write the entry that lists the executor."""
+        self.world.store.put(f"servers/{self.name}", self.entry(born_ms=self.born_ms))
+
+    def entry(self, *, born_ms: int) -> bytes:
+        """Return the entry of one of its lives."""
         entry = {
             "service": self.service,
             "addr": self.address,
@@ -186,10 +190,10 @@
             "state": self.state,
             "capacity": self.capacity,
             "labels": self.labels,
-            "born": self.born_ms,
+            "born": born_ms,
             "machine": self.machine,
         }
-        self.world.store.put(f"servers/{self.name}", msgspec.json.encode(entry))
+        return msgspec.json.encode(entry)
 
     @property
     def clock_ms(self) -> float:
--- a/tests/control/test_term.py
+++ b/tests/control/test_term.py
@@ -205,6 +205,26 @@
     site.check()
 
 
+async def test_a_start_that_a_later_life_has_accepted_is_stopped_there_first(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    executor = site.add_executor(1)
+    site.start_scheduler("a")
+    await site.wait_until(site.leader)
+    await trio.sleep(5.0)
+    site.crash(executor)
+    executor.boot()
+    site.network.hosts[executor.address] = executor.handle
+    site.world.store.put("servers/i-1", executor.entry(born_ms=1))
+    site.submit(plan=executors.Plan(run_s=8.0))
+    await site.wait_until(lambda: executor.runs, most_s=1.0)
+    site.add_executor(2)
+    executor.list_entry()
+    await trio.sleep(20.0)
+    assert len(site.events("start")) == 2
+    site.check()
+
+
 async def test_what_ran_on_a_crashed_worker_runs_again_once_its_lease_has_lapsed(
     autojump_clock: MockClock, site: Site
 ) -> None:
