Expect a gang to end with its slowest member; log why reservations are dropped

Change: the expected end of a gang's member is the latest of its members. Decisions log dropped reservations with the reason, and jobs taken up with their estimates.

--- a/src/bronzequay/core/lifecycle.py
+++ b/src/bronzequay/core/lifecycle.py
@@ -30,7 +30,11 @@
     job = states.Job(spec)
     state.jobs[spec.job] = job
     state.record_decision(
-        "job_taken_up", spec.job, queue=spec.queue, tasks=[s.count for s in spec.steps]
+        "job_taken_up",
+        spec.job,
+        queue=spec.queue,
+        tasks=[step.count for step in spec.steps],
+        estimates_s=[round(step.estimate_s, 2) for step in spec.steps],
     )
     open_due_occurrences(state, job)
 
--- a/src/bronzequay/core/reserve.py
+++ b/src/bronzequay/core/reserve.py
@@ -52,25 +52,27 @@
         self.ignores_estimates = ignores_estimates
 
 
-def is_valid(state: State, step: StepRun, view: place.FleetView, reservation: Reservation) -> bool:
-    """Return whether a step may keep waiting for a reservation.
+def invalid_reason(
+    state: State, step: StepRun, view: place.FleetView, reservation: Reservation
+) -> str | None:
+    """Return why a step may not keep waiting for a reservation, None if it may.
 
     It must not have expired, the step must still be permitted on its workers, and a preempting
     reservation must still fit once all tasks that are about to end have ended.
     """
     if state.now_s > reservation.expires_s:
-        return False
+        return "expired"
     permitted = view.permitted_workers(step)
     if not all(state.workers.get(worker_id) in permitted for worker_id in reservation.slots):
-        return False
+        return "worker not permitted"
     need = states.allocation_of(step.spec)
-    return not reservation.is_preempting or all(
-        expected_room(
+    for worker_id, count in reservation.slots.items() if reservation.is_preempting else ():
+        room = expected_room(
             state, state.workers[worker_id], ignores_estimates=reservation.ignores_estimates
-        ).count_fitting(need, count)
-        >= count
-        for worker_id, count in reservation.slots.items()
-    )
+        )
+        if room.count_fitting(need, count) < count:
+            return "room not expected"
+    return None
 
 
 def expected_room(state: State, worker: Worker, *, ignores_estimates: bool) -> place.Room:
@@ -99,6 +101,8 @@
         return False
     if states.progress_rate(task) is None:
         return False
+    if states.own_remaining_s(step, task, state.now_s) >= NEAR_END_S:
+        return False
     return -OVERRUN_S < states.remaining_s(step, task, state.now_s) < NEAR_END_S
 
 
@@ -155,15 +159,21 @@
 ) -> list[tuple[float, ids.WorkerId, model.Resources]]:
     """Return the expected ends of tasks on some workers: seconds until then, worker, room freed."""
     ends = []
+    gang_ends: dict[model.StepKey, float] = {}
     for worker in group:
         for task in worker.tasks.values():
             step = state.step_of(task.key)
             if step is None or step.spec.is_endless:
                 continue
-            remaining_s = states.remaining_s(step, task, state.now_s)
+            if not step.spec.is_gang:
+                remaining_s = states.remaining_s(step, task, state.now_s)
+            else:
+                if step.key not in gang_ends:
+                    gang_ends[step.key] = states.remaining_s(step, task, state.now_s)
+                remaining_s = gang_ends[step.key]
             wait_s = MAX_STOP_S if task.phase is model.Phase.STOPPING else max(0.0, remaining_s)
             ends.append((wait_s, worker.spec.worker, states.allocation_of(step.spec)))
     return ends
 
 
-__all__ = ["Reservation", "expected_room", "find_earliest_room", "is_ending", "is_valid"]
+__all__ = ["Reservation", "expected_room", "find_earliest_room", "invalid_reason", "is_ending"]
--- a/src/bronzequay/core/schedule.py
+++ b/src/bronzequay/core/schedule.py
@@ -79,12 +79,17 @@
 
     A guaranteed step that has waited too long drops a reservation that counts on estimates.
     """
-    if not reserve.is_valid(state, step, view, reservation):
-        return False
+    reason = reserve.invalid_reason(state, step, view, reservation)
     is_overdue = tier is order.Tier.GUARANTEED and _has_waited_longer(
         state, step, NATURAL_END_WAIT_S
     )
-    return reservation.ignores_estimates or not is_overdue
+    if reason is None and is_overdue and not reservation.ignores_estimates:
+        reason = "overdue"
+    if reason is not None and reservation.is_preempting:
+        state.record_decision(
+            "reservation_dropped", step.job.spec.job, step=step.number, why=reason
+        )
+    return reason is None
 
 
 def _has_waited_longer(state: State, step: StepRun, limit_s: float) -> bool:
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -73,7 +73,17 @@
 
 
 def remaining_s(step: StepRun, task: Task, now_s: float) -> float:
-    """Return the expected remaining run time of a task, in seconds; negative once it is overdue.
+    """Return the expected time until a task ends, in seconds; negative once it is overdue.
+
+    The members of a gang end together, with the slowest of them.
+    """
+    if not step.spec.is_gang:
+        return own_remaining_s(step, task, now_s)
+    return max(own_remaining_s(step, member, now_s) for member in (task, *step.placed_tasks))
+
+
+def own_remaining_s(step: StepRun, task: Task, now_s: float) -> float:
+    """Return the expected remaining run time of a task itself, in seconds.
 
     It follows from the progress rate if that is known, else from the estimate.
     """
@@ -308,6 +318,7 @@
     "Ticket",
     "Worker",
     "allocation_of",
+    "own_remaining_s",
     "progress_rate",
     "remaining_s",
 ]
