Start long work on workers that will not be replaced next

Change: a series of drains of a service is a roll-out until 15 s pass without one; steps of 4 s or more go first to workers that started after it began.

--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -9,7 +9,7 @@
 import trio
 
 from bronzequay.control import delivery, prefix, session
-from bronzequay.core import lifecycle, model
+from bronzequay.core import lifecycle, model, rollout
 from bronzequay.platform import workers
 
 if TYPE_CHECKING:
@@ -158,6 +158,8 @@
     if worker is None:
         return
     state.is_changed |= worker.is_draining and not entry.is_draining
+    if entry.is_draining and not worker.is_draining:
+        rollout.record_drain(state, worker)
     worker.is_draining = entry.is_draining
     if entry.remaining_s is not None:
         worker.departure_s = state.now_s + entry.remaining_s
--- a/src/bronzequay/core/model.py
+++ b/src/bronzequay/core/model.py
@@ -123,6 +123,7 @@
 
     :param worker: identifies the incarnation, not the address
     :param machine: identifies the machine, which keeps its rack and kind over restarts
+    :param started_s: Unix time at which the incarnation started, by its own clock
     """
 
     worker: ids.WorkerId
@@ -131,6 +132,7 @@
     labels: tuple[str, ...] = ()
     rack: str = ""
     machine: ids.MachineId = ids.MachineId("")
+    started_s: float = 0.0
 
 
 class TaskKey(NamedTuple):
--- a/src/bronzequay/core/place.py
+++ b/src/bronzequay/core/place.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from bronzequay.core import advice, model
+from bronzequay.core import advice, model, rollout
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
@@ -197,7 +197,7 @@
     if len(waiting) < step.spec.count:
         return []
     best: Placement = []
-    best_cost: tuple[int, bool, int] | None = None
+    best_cost: tuple[int, bool, int, int] | None = None
     need = states.allocation_of(step.spec)
     for group in view.candidate_groups(step):
         if sum(worker.free_gpu for worker in group) < need.gpu * step.spec.count:
@@ -205,9 +205,13 @@
         placement = _pack(state, waiting, group, step, view)
         if len(placement) == len(waiting):
             suspect_count = sum(_has_failures(worker, step) for _, worker in placement)
+            leaving_count = sum(
+                rollout.is_leaving_soon(state, worker, step.spec) for _, worker in placement
+            )
             cost = (
                 suspect_count,
                 _is_off_data_rack(group, step),
+                leaving_count,
                 sum(worker.free_gpu for worker in group),
             )
             if best_cost is None or cost < best_cost:
@@ -230,8 +234,8 @@
 ) -> Placement:
     """Assign tasks in order of preference, as far as workers have room.
 
-    Workers without recent failures come first, then the rack near the data, then the racks and
-    workers with the fewest free accelerators.
+    Workers without recent failures come first, then the rack near the data, then those that are
+    not about to be replaced, then the racks and workers with the fewest free accelerators.
     """
     rack = step.spec.data_rack
     need = states.allocation_of(step.spec)
@@ -252,6 +256,7 @@
         key=lambda slot: (
             _has_failures(slot[0], step),
             bool(rack) and slot[0].spec.rack != rack,
+            rollout.is_leaving_soon(state, slot[0], step.spec),
             free_gpus_by_rack[slot[0].spec.rack],
             slot[0].spec.rack,
             slot[0].free_gpu,
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -10,7 +10,7 @@
     from collections.abc import Iterator
 
     from bronzequay import ids
-    from bronzequay.core import reserve, upkeep
+    from bronzequay.core import reserve, rollout, upkeep
 
     Decision = tuple[str, ids.JobId | None, dict[str, Any]]
 
@@ -253,6 +253,7 @@
     :ivar advice_queries: queries for the advice service
     :ivar upkeep_orders: orders for machines
     :ivar dirty_waves: waves of upkeep whose record changed
+    :ivar rollouts: the latest series of drains of each service
     :ivar decisions: log entries in the order of the decisions: event, job, inputs
     """
 
@@ -274,6 +275,7 @@
         self.upkeep_orders: list[model.BeginUpkeep] = []
         self.waves: dict[int, upkeep.Wave] = {}
         self.dirty_waves: set[int] = set()
+        self.rollouts: dict[ids.ServiceId, rollout.Rollout] = {}
         self.decisions: list[Decision] = []
 
     def record_decision(self, event: str, job: ids.JobId | None, **inputs: Any) -> None:
--- a/src/bronzequay/platform/workers.py
+++ b/src/bronzequay/platform/workers.py
@@ -189,6 +189,7 @@
         # The labels are the kind of machine, then the rack.
         rack=wire.labels[-1] if len(wire.labels) > 1 else "",
         machine=ids.MachineId(wire.machine or executor),
+        started_s=wire.born / 1000,
     )
     remaining_s = None if wire.remaining_ms is None else wire.remaining_ms / 1000
     return ExecutorEntry(executor, wire.addr, spec, wire.state == "draining", remaining_s)
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -38,6 +38,7 @@
         labels=("a", "r1-2"),
         rack="r1-2",
         machine=ids.MachineId("m-1"),
+        started_s=0.005,
     )
     assert (entry.is_draining, entry.remaining_s) == (True, 1.5)
     assert workers.executor_of(entry.spec.worker) == "i-1"
