An unexpected error in scheduling ends the term, not the instance

Cause: only expected errors ended a term; any other one ended the process and cut its callers off, and the next leader may have met the same one.

--- a/src/bronzequay/core/lifecycle.py
+++ b/src/bronzequay/core/lifecycle.py
@@ -76,7 +76,7 @@
 def start(state: State, step: StepRun, placement: Sequence[tuple[Task, Worker]]) -> None:
     """Place tasks and order their starts; the members of a gang share one run number."""
     gang_run = 1 + max(task.run for task in step.tasks) if step.spec.is_gang else 0
-    checkpoint = _gang_checkpoint(step) if step.spec.is_gang else ""
+    checkpoint = states.gang_checkpoint(step) if step.spec.is_gang else ""
     for task, worker in placement:
         task.run = gang_run or task.run + 1
         if step.spec.is_gang:
@@ -111,14 +111,6 @@
     return model.Start(worker.spec.worker, task.key, task.run, task.checkpoint, token)
 
 
-def _gang_checkpoint(step: StepRun) -> str:
-    """Return the newest checkpoint of any member of a gang; it is valid for all members.
-
-    A longer checkpoint is newer; among equally long ones the last in text order is.
-    """
-    return max((task.checkpoint for task in step.tasks), key=lambda text: (len(text), text))
-
-
 def allocate(worker: Worker, step: StepRun, task: Task) -> None:
     """Place a task on a worker and deduct its allocation from the free room."""
     need = states.allocation_of(step.spec)
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -207,6 +207,14 @@
             yield from occurrence.steps
 
 
+def gang_checkpoint(step: StepRun) -> str:
+    """Return the newest checkpoint of any member of a gang; it is valid for all members.
+
+    A longer checkpoint is newer; among equally long ones the last in text order is.
+    """
+    return max((task.checkpoint for task in step.tasks), key=lambda text: (len(text), text))
+
+
 class Worker:
     """One incarnation of a worker, its free room and the tasks placed on it.
 
@@ -320,6 +328,7 @@
     "Ticket",
     "Worker",
     "allocation_of",
+    "gang_checkpoint",
     "own_remaining_s",
     "progress_rate",
     "remaining_s",
--- a/src/bronzequay/node.py
+++ b/src/bronzequay/node.py
@@ -4,6 +4,7 @@
 
 import signal
 import sys
+import traceback
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -31,6 +32,8 @@
 """An instance with fewer cores delays its claim of the leader lease, so that an instance with more
 cores gets it; scheduling needs most of a core."""
 DELAY_S_PER_MISSING_CORE = 0.2
+FAILED_TERM_PAUSE_S = 1.0
+"""Pause after a term that ended with an unexpected error, in which other instances go first."""
 GRACE_MARGIN_S = 0.5
 """Part of the time between SIGTERM and SIGKILL that is left for the exit."""
 
@@ -141,6 +144,7 @@
             delay_s=max(0.0, PREFERRED_CORES - self._cfg.cores) * DELAY_S_PER_MISSING_CORE,
         )
         self._term_count += 1
+        pause_s = 0.0
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(lease.renew_until_lost, self._store, leader_lease)
@@ -158,9 +162,14 @@
                 await current.run()
         except* errors.BronzequayError as group:
             _log.warning("term_ended", epoch=leader_lease.epoch, reason=str(_first_error(group)))
+        except* Exception as group:  # noqa: BLE001
+            # Callers are still answered from the store, and another instance may schedule.
+            _log.error("term_failed", epoch=leader_lease.epoch, error="".join(_traceback_of(group)))
+            pause_s = FAILED_TERM_PAUSE_S
         finally:
             self._term = None
             await lease.release(self._store, leader_lease)
+        await trio.sleep(pause_s)
 
     def _machine_client(self, epoch: ids.Epoch) -> machines.MachineClient | None:
         address = self._cfg.machines_address
@@ -171,7 +180,11 @@
         return self._configuration.current.rules
 
 
-def _first_error(group: BaseExceptionGroup[errors.BronzequayError]) -> BaseException:
+def _traceback_of(group: BaseExceptionGroup[Exception]) -> list[str]:
+    return traceback.format_exception(_first_error(group))
+
+
+def _first_error(group: BaseExceptionGroup[Exception]) -> BaseException:
     error: BaseException = group
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
