One failed call refuses no later job; watches of many keys keep 1.5 s

After one refused call and a quiet second the store counted as lost until the next answer, so that jobs were refused untried; now calls must have failed over a second. A watch of many keys that ends too soon has more to read from the same revision.

Change: the store counts as lost when all calls have failed over 1 s; watches of prefixes keep 1.5 s, those of single keys 0.75 s.

--- a/src/bronzequay/control/prefix.py
+++ b/src/bronzequay/control/prefix.py
@@ -8,6 +8,7 @@
 import trio
 
 from bronzequay import codes, errors
+from bronzequay.platform import kv
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -51,7 +52,9 @@
     """
     while True:
         try:
-            changes = await store.watch(prefix, after=rev, wait_s=wait_s)
+            changes = await store.watch(
+                prefix, after=rev, wait_s=wait_s, margin_s=kv.BULK_WATCH_MARGIN_S
+            )
         except errors.BronzequayError as exc:
             if exc.code is not codes.ResultCode.HISTORY_LOST:
                 await trio.sleep(RETRY_S)
--- a/src/bronzequay/platform/kv.py
+++ b/src/bronzequay/platform/kv.py
@@ -25,13 +25,16 @@
 WATCH_MARGIN_S = 0.75
 """Time allowed for the answer of a watch beyond the wait that the watch requests: a slow store
 takes 0.25 s, and 100 KB take 0.4 s on the slowest links."""
+BULK_WATCH_MARGIN_S = 1.5
+"""The same for prefixes with thousands of changes a second. A watch that ends too soon begins again
+from the same revision, with more to read."""
 PROBE_KEY = "bronzequay/leader"
 """Key that probes read; whether it exists does not matter."""
 FRESH_S = 0.05
 """Age of the latest answer up to which the store counts as answering without a probe."""
 LOST_S = 1.0
-"""Time without any answer after which calls are not tried at all; the watch of the configuration
-goes on trying."""
+"""Time over which all calls have failed and after which writes are not tried at all; the watch of
+the configuration goes on trying."""
 REFUSALS = frozenset({429, 503})
 """HTTP statuses with which the store guarantees that the call had no effect."""
 ABSENT = ids.Revision(0)
@@ -165,7 +168,7 @@
         """
         if self._contact.has_answered_within(FRESH_S):
             return
-        if self._contact.is_lost_for(LOST_S):
+        if self._contact.has_failed_for(LOST_S):
             raise errors.BronzequayError(
                 codes.ResultCode.STORE_UNAVAILABLE,
                 f"the store has not answered for {LOST_S:g} s: nothing was sent",
@@ -215,11 +218,19 @@
         items = tuple(map(_decode_item, wire.items))
         return Page(items, ids.Revision(wire.at), wire.hasMore and bool(items))
 
-    async def watch(self, prefix: str, *, after: ids.Revision, wait_s: float) -> Snapshot:
+    async def watch(
+        self,
+        prefix: str,
+        *,
+        after: ids.Revision,
+        wait_s: float,
+        margin_s: float = WATCH_MARGIN_S,
+    ) -> Snapshot:
         """Wait for changes under a prefix.
 
         :param after: revision after which changes are returned
         :param wait_s: seconds after which the store answers without changes
+        :param margin_s: further seconds allowed for the answer to arrive
         :raises errors.BronzequayError: HISTORY_LOST when the store has compacted these changes,
             STORE_TIMEOUT also when the store answers other calls again after an outage
         """
@@ -227,7 +238,7 @@
         path = f"/kv-watch?{urllib.parse.urlencode(query)}"
         resp: client.Response | None = None
         with self._contact.watch_scope():
-            resp = await self._call("GET", path, prefix, timeout_s=wait_s + WATCH_MARGIN_S)
+            resp = await self._call("GET", path, prefix, timeout_s=wait_s + margin_s)
         if resp is None:
             raise errors.BronzequayError(
                 codes.ResultCode.STORE_TIMEOUT, f"a watch from before an outage was ended: {prefix}"
--- a/src/bronzequay/platform/store_contact.py
+++ b/src/bronzequay/platform/store_contact.py
@@ -30,7 +30,7 @@
 
     def __init__(self) -> None:
         self.lost_since_s: float | None = None
-        self._answered_s = float("-inf")
+        self._answered_s = self._failed_s = float("-inf")
         self._watches: dict[trio.CancelScope, float] = {}
         self._failures = 0
         self._slow_calls = 0
@@ -41,11 +41,9 @@
         """Return whether the latest call was answered, and at most ``age_s`` seconds ago."""
         return self.lost_since_s is None and trio.current_time() - self._answered_s <= age_s
 
-    def is_lost_for(self, duration_s: float) -> bool:
-        """Return whether no call has been answered for at least ``duration_s`` seconds."""
-        return (
-            self.lost_since_s is not None and trio.current_time() - self.lost_since_s >= duration_s
-        )
+    def has_failed_for(self, duration_s: float) -> bool:
+        """Return whether all calls have failed, the first and the latest ``duration_s`` apart."""
+        return self.lost_since_s is not None and self._failed_s - self.lost_since_s >= duration_s
 
     @contextlib.contextmanager
     def watch_scope(self) -> Iterator[trio.CancelScope]:
@@ -63,6 +61,7 @@
     def record_failure(self, call: str, why: str) -> None:
         """Record a call that was refused or not answered."""
         self._failures += 1
+        self._failed_s = trio.current_time()
         if self.lost_since_s is None:
             self.lost_since_s = trio.current_time()
             _log.warning("store_lost", call=call, why=why)
--- a/tests/control/test_outage.py
+++ b/tests/control/test_outage.py
@@ -12,7 +12,8 @@
 import trio
 
 from bronzequay import ids
-from bronzequay.control import keys, lease
+from bronzequay.control import keys, lease, prefix
+from bronzequay.fakes import kv
 from bronzequay.platform import kv as stores
 from tests.control.site import STORE, Site
 
@@ -82,3 +83,27 @@
     assert trio.current_time() - lost_s[0] < 1.0
     await site.wait_for(job, "completed")
     site.check_runs()
+
+
+async def test_a_watch_of_many_keys_whose_answer_takes_over_a_second_reports_changes(
+    autojump_clock: MockClock, site: Site, nursery: trio.Nursery
+) -> None:
+    site.kv.faults = kv.Faults(delay_s=1.2)
+    failed: list[float] = []
+
+    async def follow() -> None:
+        await prefix.follow(
+            stores.Store(STORE),
+            "servers/",
+            ids.Revision(site.kv.rev),
+            on_change=lambda items: seen.extend(item.key for item in items),
+            on_snapshot=lambda _: failed.append(trio.current_time()),
+            wait_s=1.5,
+        )
+
+    seen: list[str] = []
+    nursery.start_soon(follow)
+    await trio.sleep(2.6)
+    site.kv.put("servers/i-1", b"{}")
+    await trio.sleep(0.2)
+    assert (seen, failed) == (["servers/i-1"], [])
--- a/tests/front/test_outage.py
+++ b/tests/front/test_outage.py
@@ -61,6 +61,18 @@
     assert trio.current_time() - started_s < 0.05
 
 
+async def test_one_refused_call_does_not_refuse_later_jobs(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    send = await site.start_front("f")
+    await trio.sleep(0.1)
+    site.kv.faults = kv.Faults(busy=True)
+    assert (await send("POST", f"/q1/{JOB}", BODY)).status == 503
+    site.kv.faults = kv.Faults()
+    await trio.sleep(1.2)
+    assert (await send("POST", f"/q1/{JOB}", BODY)).status == 200
+
+
 async def test_a_job_is_refused_while_the_store_resets_every_connection(
     autojump_clock: MockClock, site: Site, monkeypatch: pytest.MonkeyPatch
 ) -> None:
