Log and count why a worker is lost, and which runs were on it

`run_ended` said `lost` for a crash, an expired lease, a drained worker and one that a new term never reached. `worker_lost` tells them apart, with the age of each run, whether its worker had listed it, and how much of the rack was silent, which separates a task that crashes its workers from a rack without power and from a start that was sent again.

--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -9,7 +9,7 @@
 import trio
 
 from bronzequay.control import delivery, prefix, session
-from bronzequay.core import lifecycle, model, rollout
+from bronzequay.core import lifecycle, losses, model, rollout
 from bronzequay.platform import workers
 
 if TYPE_CHECKING:
@@ -93,7 +93,7 @@
     def _on_entry(self, entry: workers.ExecutorEntry) -> None:
         current = self._sessions.get(entry.executor)
         if current is not None and current.worker != entry.spec.worker:
-            self.end_session(current)
+            self.end_session(current, is_replaced=True)
             current = None
         if current is None:
             barred = self._unanswered_starts.pop(entry.executor, ())
@@ -118,11 +118,13 @@
         worker = current.worker
         self._term.post(lambda state: _mark_draining(state, worker))
 
-    def end_session(self, ended: session.Session) -> None:
+    def end_session(self, ended: session.Session, *, is_replaced: bool) -> None:
         """End a session whose worker incarnation is over, and the runs of that incarnation.
 
         A start that went unanswered may still reach a later incarnation under the same id, so its
         run is ended only once that incarnation has barred it.
+
+        :param is_replaced: whether it is known that the incarnation has ended
         """
         executor = ended.entry.executor
         if self._sessions.get(executor) is not ended:
@@ -131,7 +133,10 @@
         unanswered = ended.close()
         self._unanswered_starts[executor] = unanswered
         barred = {(start.key, start.run) for start in unanswered}
-        self._term.post(lambda state: lifecycle.remove_worker(state, ended.worker, barred))
+        loss = losses.Loss.LAPSED
+        if is_replaced:
+            loss = losses.Loss.LEFT if ended.entry.is_draining else losses.Loss.CRASHED
+        self._term.post(lambda state: _remove_worker(state, ended.worker, barred, loss))
         if unanswered:
             self._nursery.start_soon(self._end_unanswered, executor, unanswered)
 
@@ -153,6 +158,19 @@
     _update_draining(state, entry)
 
 
+def _remove_worker(
+    state: State,
+    worker_id: ids.WorkerId,
+    barred: set[tuple[model.TaskKey, int]],
+    loss: losses.Loss,
+) -> None:
+    worker = state.workers.get(worker_id)
+    if worker is not None:
+        is_in_upkeep = any(worker_id in wave.ordered.values() for wave in state.waves.values())
+        losses.record(state, worker, losses.Loss.UPKEEP if is_in_upkeep else loss)
+    lifecycle.remove_worker(state, worker_id, barred)
+
+
 def _update_draining(state: State, entry: workers.ExecutorEntry) -> None:
     worker = state.workers.get(entry.spec.worker)
     if worker is None:
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -9,7 +9,7 @@
 
 from bronzequay import clock, codes, errors
 from bronzequay.control import delivery
-from bronzequay.core import evacuate, health, lifecycle, model, pacing
+from bronzequay.core import evacuate, health, lifecycle, losses, model, pacing
 from bronzequay.platform import workers
 
 if TYPE_CHECKING:
@@ -118,8 +118,8 @@
                     f"{self.worker} has accepted calls of a later term",
                 )
             elif self._is_incarnation_over(reply):
-                _log.info("worker_life_over", worker=self.worker)
-                self._term.roster.end_session(self)
+                _log.info("worker_life_over", worker=self.worker, outcome=reply.outcome.value)
+                self._term.roster.end_session(self, is_replaced=True)
                 return
             elif self._on_no_answer():
                 return
@@ -192,11 +192,17 @@
         _log.warning("worker_lapsed", worker=self.worker, is_listed=self.is_listed)
         self._has_listing, self._is_lost = False, True
         self.delivery.discard_answers()
-        self._term.post(lambda state: lifecycle.end_lost_runs(state, self.worker))
+        self._term.post(self._end_lapsed_runs)
         return False
 
+    def _end_lapsed_runs(self, state: State) -> None:
+        worker = state.workers.get(self.worker)
+        if worker is not None:
+            losses.record(state, worker, losses.Loss.LAPSED)
+        lifecycle.end_lost_runs(state, self.worker)
+
     def _end(self) -> bool:
-        self._term.roster.end_session(self)
+        self._term.roster.end_session(self, is_replaced=False)
         return True
 
     async def _on_listing(self, listing: workers.Listing, sent_s: float) -> None:
@@ -234,6 +240,7 @@
         worker = state.workers.get(self.worker)
         if worker is None:
             return
+        worker.heard_s = state.now_s
         for ended in listing.ended:
             lifecycle.end_run(state, self.worker, ended.key, ended.run, ended.end, ended.checkpoint)
         _update_running(state, worker, listing.running)
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -10,7 +10,7 @@
 
 from bronzequay import clock, figures
 from bronzequay.control import advisor, intake, journal, roster, session, sweep, upkeep
-from bronzequay.core import explain, lifecycle, model, schedule
+from bronzequay.core import explain, lifecycle, losses, model, schedule
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
@@ -228,7 +228,8 @@
             self._first_majority_s = clock.boot_s()
         if self._state.orphaned_tasks and self.are_earlier_leases_expired:
             for worker in list(self._state.orphaned_tasks):
-                _log.warning("worker_absent", worker=worker)
+                tasks = list(self._state.orphaned_tasks[worker].values())
+                losses.record_absent(self._state, worker, tasks)
                 lifecycle.end_lost_runs(self._state, worker)
 
     def _read_clocks(self) -> None:
--- a/src/bronzequay/core/lifecycle.py
+++ b/src/bronzequay/core/lifecycle.py
@@ -86,7 +86,7 @@
         task.is_confirmed = False
         task.first_sample = task.last_sample = None
         task.load, task.speed_percent = 0.0, 100
-        task.phase_since_s = state.now_s
+        task.phase_since_s = task.started_s = state.now_s
         allocate(worker, step, task)
         state.commands.append(_start_command(step, task, worker))
     job = step.job
@@ -323,6 +323,7 @@
 def add_worker(state: State, spec: model.WorkerSpec) -> Worker:
     """Add an incarnation of a worker, with the tasks that earlier terms placed on it."""
     worker = states.Worker(spec)
+    worker.heard_s = state.now_s
     state.workers[spec.worker] = worker
     for task in state.orphaned_tasks.pop(spec.worker, {}).values():
         step = state.step_of(task.key)
--- a/src/bronzequay/core/records.py
+++ b/src/bronzequay/core/records.py
@@ -137,7 +137,7 @@
         task.run = task_record.run
         task.failures = task_record.failures
         task.checkpoint = task_record.checkpoint
-        task.phase_since_s = state.now_s
+        task.phase_since_s = task.started_s = state.now_s
         if task_record.worker != NOT_PLACED:
             task.worker = ids.WorkerId(job.workers[task_record.worker])
             task.phase = model.Phase.STOPPING if step.job.is_final else model.Phase.RUNNING
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -36,6 +36,8 @@
     :ivar first_sample: first progress report of the current run
     :ivar last_sample: latest progress report of the current run
     :ivar progressed_s: when the progress of the current run last increased
+    :ivar started_s: when the start of the current run was ordered; the beginning of the term if an
+        earlier term ordered it
     :ivar load: tail response time in ms of a serving task, else processor use
     :ivar speed_percent: throttle ordered for the run, None while the worker may not know it
     """
@@ -53,6 +55,7 @@
         "progressed_s",
         "run",
         "speed_percent",
+        "started_s",
         "worker",
     )
 
@@ -68,6 +71,7 @@
         self.first_sample: ProgressSample | None = None
         self.last_sample: ProgressSample | None = None
         self.progressed_s = 0.0
+        self.started_s = 0.0
         self.load = 0.0
         self.speed_percent: int | None = 100
 
@@ -220,6 +224,7 @@
 
     :ivar stray_runs: runs on the worker that belong to no task there and were ordered to stop
     :ivar is_ready: its runs are known, so tasks can be placed on it
+    :ivar heard_s: when its last listing was applied, or when it was added
     :ivar is_held_for_upkeep: gets no tasks because its machine is next in a wave of upkeep
     :ivar departure_s: when a draining worker is expected to leave
     :ivar quarantined_until_s: until when it gets no tasks
@@ -236,6 +241,7 @@
         self.tasks: dict[model.TaskKey, Task] = {}
         self.stray_runs: set[tuple[model.TaskKey, int]] = set()
         self.is_ready = False
+        self.heard_s = 0.0
         self.is_draining = False
         self.is_held_for_upkeep = False
         self.departure_s: float | None = None
