Reproduce tasks that crash their workers in tests; known red until the fix

The stand-in for executors gets tasks that crash it: at once, before their start is answered, or after some seconds of work. Nine tests fail: the task is started again without limit and its job never ends, alone, in a gang, over changes of the scheduler and beside sound work. Two tests pass and have to go on passing: work on a rack whose power fails repeatedly, and on workers that are only silent, is not given up.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,7 +11,7 @@
 import msgspec
 import trio
 
-from bronzequay.fakes import executors
+from bronzequay.fakes import tasks
 from bronzequay.net import client
 
 if TYPE_CHECKING:
@@ -98,7 +98,7 @@
         run_s = rng.choice([0.2, 0.6, 1.5, 4.0])
         is_gang = rng.random() < GANG_SHARE
         saves = rng.random() < CHECKPOINT_SHARE
-        plan = executors.Plan(
+        plan = tasks.Plan(
             run_s=run_s,
             gang=count if is_gang else 0,
             fails=rng.choice([0, 0, 0, 0, 1]),
--- a/src/bronzequay/fakes/executors.py
+++ b/src/bronzequay/fakes/executors.py
@@ -7,6 +7,7 @@
 import msgspec
 import trio
 
+from bronzequay.fakes import tasks
 from bronzequay.net import server
 
 if TYPE_CHECKING:
@@ -17,59 +18,9 @@
 GANG_TIMEOUT_S = 3.0
 STOP_DURATION_S = 0.3
 MAX_LEASE_MS = 10_000
-CHECKPOINT_INTERVAL_S = 1.0
 MAX_LISTED_ENDS = 500
-
-
-class Plan(msgspec.Struct, frozen=True):
-    """Behaviour of a task; the payload of a job in tests and in the demo.
-
-    :param run_s: duration of a run, in seconds
-    :param gang: number of members of the gang, 0 for a task outside a gang
-    :param fails: number of runs that fail before one succeeds
-    :param saves: whether it writes checkpoints
-    :param gpu: number of accelerators that it occupies
-    :param lasts: whether it runs until it is stopped
-    :param tail_ms: tail latency of its responses when nothing interferes, 0 if it does not serve
-    :param disturbs: share by which it raises other tail latencies on its executor at full speed
-    """
-
-    run_s: float = 1.0
-    gang: int = 0
-    fails: int = 0
-    saves: bool = False
-    gpu: int = 0
-    lasts: bool = False
-    tail_ms: float = 0.0
-    disturbs: float = 0.0
-
-
-class Run:
-    """A run on an executor; ``started_s`` is None while its gang is incomplete.
-
-    :param restored_s: work done before this run, restored from a checkpoint, in seconds
-    """
-
-    def __init__(self, task: str, run: int, plan: Plan, restored_s: float, now_s: float) -> None:
-        self.task = task
-        self.run = run
-        self.plan = plan
-        self.restored_s = restored_s
-        self.arrived_s = now_s
-        self.started_s: float | None = None
-        self.stop_at_s: float | None = None
-        self.speed_percent = 100
-
-    def done_s(self, now_s: float) -> float:
-        """Return the work done so far, in seconds."""
-        started_s = now_s if self.started_s is None else self.started_s
-        return self.restored_s + now_s - started_s
-
-    def checkpoint(self, now_s: float, *, is_stop: bool = False) -> str:
-        """Return the newest checkpoint, the saved work in hexadecimal ms, or an empty string."""
-        done_s = self.done_s(now_s)
-        saved_s = done_s if is_stop else done_s // CHECKPOINT_INTERVAL_S * CHECKPOINT_INTERVAL_S
-        return f"{int(saved_s * 1000):08x}" if self.plan.saves and saved_s > 0 else ""
+RESTART_S = 3.0
+"""Time after which an executor that a task has crashed is back."""
 
 
 class World:
@@ -85,12 +36,13 @@
         self.executors: dict[str, Executor] = {}
         self.log: list[tuple[float, str, str, str, int]] = []
         self.tickets: dict[tuple[str, str], str] | None = None
+        self._restarts: list[tuple[float, Executor]] = []
 
     def record_event(self, event: str, executor: str, task: str, run: int) -> None:
         """Append a start or an end to the log."""
         self.log.append((trio.current_time(), event, executor, task, run))
 
-    def members(self, task: str, run: int) -> list[tuple[Executor, Run]]:
+    def members(self, task: str, run: int) -> list[tuple[Executor, tasks.Run]]:
         """Return the members of a gang's run that are on an executor now."""
         step = task.rpartition(".")[0]
         return [
@@ -113,6 +65,24 @@
             await trio.sleep(0.02)
             for executor in list(self.executors.values()):
                 executor.advance()
+            self._restart_crashed()
+
+    def crash(self, executor: Executor) -> None:
+        """Crash an executor and start it again, under a new id unless it keeps its id."""
+        executor.crash()
+        self._restarts.append((trio.current_time() + RESTART_S, executor))
+
+    def _restart_crashed(self) -> None:
+        now_s = trio.current_time()
+        due = [executor for due_s, executor in self._restarts if due_s <= now_s]
+        self._restarts = [restart for restart in self._restarts if restart[0] > now_s]
+        for executor in due:
+            del self.executors[executor.name]
+            executor.boot()
+            if not executor.keeps_id:
+                executor.name = f"{executor.name.partition('-life')[0]}-life{executor.born_ms}"
+            self.executors[executor.name] = executor
+            executor.list_entry()
 
 
 class Executor:
@@ -125,6 +95,7 @@
     :ivar starts_to_refuse: number of starts to refuse with 503; counts down
     :ivar is_stalled: whether no run completes
     :ivar fails_all_runs: whether every run that completes is reported as failed
+    :ivar keeps_id: whether it restarts under its id after a task has crashed it
     :ivar barred_runs: highest run number by task that may no longer start
     :ivar void_ends: numbers of ends that were unacknowledged when the lease lapsed
     """
@@ -156,6 +127,7 @@
         self.state = "ready"
         self.is_stalled = False
         self.fails_all_runs = False
+        self.keeps_id = False
         self.born_ms = 0
         self.boot()
 
@@ -166,7 +138,7 @@
         self.is_up = True
         self.epoch = 0
         self.deadline_ms = 0.0
-        self.runs: dict[str, Run] = {}
+        self.runs: dict[str, tasks.Run] = {}
         self.barred_runs: dict[str, int] = {}
         self.ended: list[list[Any]] = []
         self.last_end = 0
@@ -222,10 +194,15 @@
                     self.end(run, "stopped")
             elif run.started_s is None:
                 self._start_gang_or_end(run, now_s)
+            elif (
+                run.plan.crashes_after_s is not None
+                and now_s - run.started_s >= run.plan.crashes_after_s
+            ):
+                self.world.crash(self)
             elif not self.is_stalled and not run.plan.lasts and run.done_s(now_s) >= run.plan.run_s:
                 self._complete(run)
 
-    def _start_gang_or_end(self, run: Run, now_s: float) -> None:
+    def _start_gang_or_end(self, run: tasks.Run, now_s: float) -> None:
         members = self.world.members(run.task, run.run)
         if len(members) >= run.plan.gang:
             for _, member in members:
@@ -233,7 +210,7 @@
         elif now_s - run.arrived_s > GANG_TIMEOUT_S:
             self.end(run, "alone")
 
-    def _complete(self, run: Run) -> None:
+    def _complete(self, run: tasks.Run) -> None:
         outcome = "failed" if self.fails_all_runs or run.run <= run.plan.fails else "done"
         others = self.world.members(run.task, run.run) if run.plan.gang else []
         self.end(run, outcome)
@@ -241,7 +218,7 @@
             if member is not run and member.task in executor.runs:
                 executor.end(member, "done" if outcome == "done" else "broken")
 
-    def end(self, run: Run, outcome: str) -> None:
+    def end(self, run: tasks.Run, outcome: str) -> None:
         """End a run; the outcomes stopped, lapsed and alone end the rest of its gang as broken."""
         now_s = trio.current_time()
         del self.runs[run.task]
@@ -258,6 +235,8 @@
 
     async def handle(self, req: server.Request) -> server.Response:
         """Answer a call."""
+        if not self.is_up:
+            await trio.sleep_forever()
         if self.unanswered_calls.get(req.path, 0) > 0:
             self.unanswered_calls[req.path] -= 1
             if self.late_effect_s and self.spawn is not None:
@@ -266,6 +245,8 @@
                 self._execute(req)
             await trio.sleep_forever()
         answer = self._execute(req)
+        if not self.is_up:
+            await trio.sleep_forever()
         body = msgspec.json.decode(req.body) if req.body else {}
         if req.path == "/hold" and answer.status == 200:  # noqa: PLR2004
             with trio.move_on_after(body.get("waitMs", 0) / 1000):
@@ -323,14 +304,18 @@
         tickets = self.world.tickets
         if tickets is not None and tickets.get((step, self.name)) != body.get("ticket"):
             return self._refuse("ticket")
-        plan = msgspec.json.decode(body["spec"] or b"{}", type=Plan)
+        plan = msgspec.json.decode(body["spec"] or b"{}", type=tasks.Plan)
         checkpoint = body.get("checkpointed", "")
         now_s = trio.current_time()
-        new_run = Run(task, run, plan, int(checkpoint, 16) / 1000 if checkpoint else 0.0, now_s)
+        new_run = tasks.Run(
+            task, run, plan, int(checkpoint, 16) / 1000 if checkpoint else 0.0, now_s
+        )
         if not plan.gang:
             new_run.started_s = now_s
         self.runs[task] = new_run
         self.world.record_event("start", self.name, task, run)
+        if plan.crashes_after_s is not None and plan.crashes_after_s < 0:
+            self.world.crash(self)
         return self._ok()
 
     def _stop(self, body: dict[str, Any]) -> server.Response:
@@ -348,7 +333,7 @@
         current_run.speed_percent = body["percent"]
         return self._ok()
 
-    def tail_ms(self, run: Run) -> float:
+    def tail_ms(self, run: tasks.Run) -> float:
         """Return the tail latency of a serving task under the interference of other runs."""
         others = (other for other in self.runs.values() if other is not run)
         disturbance = sum(other.plan.disturbs * other.speed_percent / 100 for other in others)
@@ -382,7 +367,7 @@
         }
         return server.Response(200, msgspec.json.encode(body))
 
-    def _progress_percent(self, run: Run, now_s: float) -> int:
+    def _progress_percent(self, run: tasks.Run, now_s: float) -> int:
         if run.started_s is None:
             return 0
         if run.plan.lasts:
@@ -397,4 +382,4 @@
         return server.Response(409, msgspec.json.encode(body))
 
 
-__all__ = ["Executor", "Plan", "Run", "World"]
+__all__ = ["Executor", "World"]
--- a/tests/control/site.py
+++ b/tests/control/site.py
@@ -11,7 +11,7 @@
 from bronzequay import errors, ids
 from bronzequay.control import keys, lease, status, term
 from bronzequay.core import model
-from bronzequay.fakes import advice, executors, kv, machines
+from bronzequay.fakes import advice, executors, kv, machines, tasks
 from bronzequay.front import config_watcher, handler
 from bronzequay.net import server
 from bronzequay.platform import config
@@ -193,7 +193,7 @@
     def submit(
         self,
         *steps: model.Step,
-        plan: executors.Plan | None = None,
+        plan: tasks.Plan | None = None,
         priority: int = 1,
         org: str = "one",
         name: str = "",
@@ -205,7 +205,7 @@
             job=job,
             queue=ids.QueueId(f"q{priority}"),
             org=ids.OrgId(org),
-            payload=msgspec.json.encode(plan or executors.Plan()).decode(),
+            payload=msgspec.json.encode(plan or tasks.Plan()).decode(),
             steps=steps or (model.Step(need=model.Resources(1000, 1000, 1), estimate_s=1.0),),
             accepted_s=1000.0 + trio.current_time(),
         )
--- a/tests/control/test_advice.py
+++ b/tests/control/test_advice.py
@@ -7,7 +7,7 @@
 import trio
 
 from bronzequay.core import model
-from bronzequay.fakes import executors
+from bronzequay.fakes import tasks
 from tests.control.site import ONE_GPU, gang
 
 if TYPE_CHECKING:
@@ -23,7 +23,7 @@
     for number in range(6):
         site.add_executor(number)
     site.start_scheduler("a")
-    job = site.submit(gang(2), plan=executors.Plan(run_s=1.0, gang=2))
+    job = site.submit(gang(2), plan=tasks.Plan(run_s=1.0, gang=2))
     await site.wait_for(job, "completed", timeout_s=5.0)
     assert {executor for _, event, executor, _, _ in site.world.log if event == "start"} <= {
         "i-2",
@@ -37,7 +37,7 @@
     site.add_executor(1)
     site.start_scheduler("a")
     step = model.Step(count=2, need=model.Resources(1000, 1000, 8), estimate_s=5.0)
-    job = site.submit(step, plan=executors.Plan(run_s=5.0))
+    job = site.submit(step, plan=tasks.Plan(run_s=5.0))
     await site.wait_for(job, "completed", timeout_s=15.0)
     assert len(advice.queries) == 2
     site.check_runs()
--- a/tests/control/test_chaos.py
+++ b/tests/control/test_chaos.py
@@ -11,7 +11,7 @@
 
 from bronzequay.control import keys
 from bronzequay.core import model
-from bronzequay.fakes import executors, kv
+from bronzequay.fakes import kv, tasks
 from tests.control.site import ONE_GPU, STORE, Site, gang
 
 if TYPE_CHECKING:
@@ -79,11 +79,11 @@
         count = rng.choice([1, 2, 3])
         run_s = rng.choice([0.3, 1.0, 4.0])
         if rng.random() < 0.5:
-            plan = executors.Plan(run_s=run_s, gang=count, saves=rng.random() < 0.5)
+            plan = tasks.Plan(run_s=run_s, gang=count, saves=rng.random() < 0.5)
             job = site.submit(gang(count, run_s=run_s, saves=plan.saves), plan=plan)
         else:
             step = model.Step(count=count, need=ONE_GPU, estimate_s=run_s)
-            plan = executors.Plan(run_s=run_s, fails=rng.choice([0, 0, 0, 1]))
+            plan = tasks.Plan(run_s=run_s, fails=rng.choice([0, 0, 0, 1]))
             job = site.submit(step, plan=plan, priority=rng.randrange(3))
         if rng.random() < 0.1:
             site.cancel(job)
--- /dev/null
+++ b/tests/control/test_crash.py
@@ -0,0 +1,149 @@
+"""Tasks that crash the workers they start on, and sound work beside them."""
+
+from __future__ import annotations
+
+import collections
+import functools
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+from bronzequay.core import model
+from bronzequay.fakes import tasks
+from tests.control.site import ONE_GPU, gang
+
+if TYPE_CHECKING:
+    from trio.testing import MockClock
+
+    from bronzequay import ids
+    from tests.control.site import Site
+
+AT_ONCE = 0.0
+UNANSWERED = -1.0
+TOLERATED_STARTS = 5
+"""Starts of a task that crashes its workers: three, and two more after the third crash."""
+
+
+def start_counts(site: Site, job: ids.JobId) -> collections.Counter[str]:
+    """Return how often each task of a job has begun on an executor."""
+    return collections.Counter(task for task, _ in site.events("start") if task.startswith(job))
+
+
+def has_begun_or_failed(site: Site, job: ids.JobId, count: int) -> bool:
+    """Return whether the first task of a job has begun some times, or its job has failed."""
+    return start_counts(site, job)[f"{job}.0.0.0"] >= count or site.state(job) == "failed"
+
+
+def deadly(run_s: float = 5.0, *, after_s: float = AT_ONCE, gang_size: int = 0) -> tasks.Plan:
+    return tasks.Plan(run_s=run_s, gang=gang_size, crashes_after_s=after_s)
+
+
+@pytest.mark.parametrize("keeps_id", [False, True])
+@pytest.mark.parametrize("after_s", [AT_ONCE, UNANSWERED, 3.0])
+async def test_a_task_that_crashes_its_workers_is_given_up(
+    autojump_clock: MockClock, site: Site, after_s: float, keeps_id: bool
+) -> None:
+    """Guards against a task that brings down worker after worker until the day ends."""
+    for number in range(6):
+        site.add_executor(number).keeps_id = keeps_id
+    site.start_scheduler("a")
+    job = site.submit(plan=deadly(after_s=after_s))
+    await site.wait_for(job, "failed", timeout_s=60.0)
+    await trio.sleep(20.0)
+    assert 2 <= start_counts(site, job)[f"{job}.0.0.0"] <= TOLERATED_STARTS
+
+
+async def test_a_gang_whose_member_crashes_its_workers_is_given_up(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against a gang that is started without limit as its member crashes each worker."""
+    for number in range(6):
+        site.add_executor(number)
+    site.start_scheduler("a")
+    job = site.submit(gang(3), plan=deadly(gang_size=3))
+    await site.wait_for(job, "failed", timeout_s=60.0)
+    assert max(start_counts(site, job).values()) <= TOLERATED_STARTS
+
+
+async def test_crashes_are_counted_over_changes_of_the_scheduler(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against a new scheduler that begins to count the crashes of a task anew."""
+    for number in range(8):
+        site.add_executor(number)
+    site.start_scheduler("s0")
+    await site.wait_until(site.leader)
+    job = site.submit(plan=deadly())
+    for number in range(1, 8):
+        await site.wait_until(
+            functools.partial(has_begun_or_failed, site, job, number), timeout_s=60.0
+        )
+        await trio.sleep(0.1)
+        leader = site.leader()
+        assert leader is not None
+        site.kill(leader)
+        site.start_scheduler(f"s{number}")
+    await site.wait_for(job, "failed", timeout_s=60.0)
+    assert start_counts(site, job)[f"{job}.0.0.0"] <= TOLERATED_STARTS
+
+
+async def test_sound_work_survives_its_neighbours_crashes(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against sound jobs that are given up because other tasks crash their workers."""
+    for number in range(4):
+        site.add_executor(number)
+    site.start_scheduler("a")
+    await site.wait_until(site.leader)
+    bad, good = [], []
+    for _ in range(4):
+        good.append(site.submit(model.Step(count=3, need=ONE_GPU, estimate_s=4.0),
+                                plan=tasks.Plan(run_s=4.0)))  # fmt: skip
+        bad.append(site.submit(model.Step(count=1, need=ONE_GPU, estimate_s=4.0), plan=deadly()))
+    for job in bad:
+        await site.wait_for(job, "failed", timeout_s=90.0)
+        assert start_counts(site, job)[f"{job}.0.0.0"] <= TOLERATED_STARTS
+    for job in good:
+        await site.wait_for(job, "completed", timeout_s=90.0)
+        assert max(start_counts(site, job).values()) <= TOLERATED_STARTS
+    site.check_runs()
+
+
+async def test_a_job_whose_rack_loses_power_again_and_again_is_not_given_up(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against giving up sound work because the power of its rack fails."""
+    for number in range(8):
+        site.add_executor(number, rack=f"r{number % 2}")
+    site.start_scheduler("a")
+    job = site.submit(model.Step(count=8, need=ONE_GPU, estimate_s=9.0, max_per_worker=1),
+                      plan=tasks.Plan(run_s=9.0))  # fmt: skip
+    for failure in range(6):
+        await trio.sleep(6.0)
+        for executor in list(site.world.executors.values()):
+            if executor.is_up and executor.labels[1] == f"r{failure % 2}":
+                site.world.crash(executor)
+    await site.wait_for(job, "completed", timeout_s=60.0)
+    site.check_runs()
+
+
+async def test_runs_on_a_worker_that_was_only_silent_are_not_counted_as_crashed(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against giving up work because its workers could not be reached for a while."""
+    for number in range(2):
+        site.add_executor(number)
+    site.start_scheduler("a")
+    job = site.submit(plan=tasks.Plan(run_s=12.0))
+    for _ in range(6):
+        await site.wait_for(job, "running")
+        await site.wait_until(lambda: any(e.runs for e in site.world.executors.values()))
+        await trio.sleep(2.0)
+        (busy,) = [e for e in site.world.executors.values() if e.runs]
+        site.network.cut.add(("a", busy.address))
+        await trio.sleep(8.0)
+        site.network.cut.clear()
+        await trio.sleep(2.0)
+    await site.wait_for(job, "completed", timeout_s=60.0)
+    site.check_runs()
--- a/tests/control/test_pacing.py
+++ b/tests/control/test_pacing.py
@@ -8,7 +8,7 @@
 import trio
 
 from bronzequay.core import model
-from bronzequay.fakes import executors
+from bronzequay.fakes import tasks
 from tests.control.site import ONE_GPU
 
 if TYPE_CHECKING:
@@ -28,9 +28,9 @@
 ) -> None:
     executor = site.add_executor(1)
     site.start_scheduler("a")
-    site.submit(SERVING, plan=executors.Plan(lasts=True, tail_ms=60.0))
+    site.submit(SERVING, plan=tasks.Plan(lasts=True, tail_ms=60.0))
     await site.wait_until(lambda: executor.runs)
-    site.submit(FILLER, plan=executors.Plan(lasts=True, disturbs=disturbs))
+    site.submit(FILLER, plan=tasks.Plan(lasts=True, disturbs=disturbs))
     await site.wait_until(lambda: len(executor.runs) == 3)
     serving = next(run for run in executor.runs.values() if run.plan.tail_ms)
     last_within_target_s = trio.current_time()
@@ -46,9 +46,9 @@
 ) -> None:
     executor = site.add_executor(1)
     site.start_scheduler("a")
-    site.submit(SERVING, plan=executors.Plan(lasts=True, tail_ms=20.0))
+    site.submit(SERVING, plan=tasks.Plan(lasts=True, tail_ms=20.0))
     await site.wait_until(lambda: executor.runs)
-    site.submit(FILLER, plan=executors.Plan(lasts=True, disturbs=0.5))
+    site.submit(FILLER, plan=tasks.Plan(lasts=True, disturbs=0.5))
     await trio.sleep(15.0)
     assert [run.speed_percent for run in executor.runs.values()] == [100, 100, 100]
 
@@ -58,11 +58,11 @@
 ) -> None:
     executor = site.add_executor(1)
     site.start_scheduler("a")
-    site.submit(SERVING, plan=executors.Plan(lasts=True, tail_ms=60.0))
+    site.submit(SERVING, plan=tasks.Plan(lasts=True, tail_ms=60.0))
     await site.wait_until(lambda: executor.runs)
     executor.unanswered_calls["/pace"] = 4
     executor.late_effect_s = 60.0
-    site.submit(FILLER, plan=executors.Plan(lasts=True, disturbs=3.0))
+    site.submit(FILLER, plan=tasks.Plan(lasts=True, disturbs=3.0))
     await trio.sleep(MAX_OVER_TARGET_S)
     serving = next(run for run in executor.runs.values() if run.plan.tail_ms)
     assert executor.tail_ms(serving) <= TARGET_S * 1000
--- a/tests/control/test_term.py
+++ b/tests/control/test_term.py
@@ -10,7 +10,7 @@
 
 from bronzequay.control import keys, lease, session
 from bronzequay.core import model
-from bronzequay.fakes import executors, kv
+from bronzequay.fakes import kv, tasks
 from tests.control.site import ONE_GPU, gang
 
 if TYPE_CHECKING:
@@ -36,7 +36,7 @@
     for number in range(3):
         site.add_executor(number)
     site.start_scheduler("a")
-    job = site.submit(gang(3), plan=executors.Plan(run_s=2.0, gang=3))
+    job = site.submit(gang(3), plan=tasks.Plan(run_s=2.0, gang=3))
     await site.wait_for(job, "completed", timeout_s=4.0)
     assert site.events("alone", "broken") == []
     site.check_runs()
@@ -47,7 +47,7 @@
 ) -> None:
     site.add_executor(1)
     site.start_scheduler("a")
-    job = site.submit(plan=executors.Plan(run_s=60.0))
+    job = site.submit(plan=tasks.Plan(run_s=60.0))
     await site.wait_for(job, "running")
     site.cancel(job)
     await site.wait_for(job, "cancelled", timeout_s=1.0)
@@ -90,7 +90,7 @@
     site.start_scheduler("a")
     await site.wait_for(site.submit(), "completed")
     site.kv.faults = kv.Faults(deaf=True)
-    job = site.submit(plan=executors.Plan(run_s=60.0))
+    job = site.submit(plan=tasks.Plan(run_s=60.0))
     site.cancel(job)
     await trio.sleep(0.5)
     site.kv.compact()
@@ -118,7 +118,7 @@
     await site.wait_until(site.leader)
     executor.unanswered_calls["/run-start"] = 1
     executor.late_effect_s = late_s
-    job = site.submit(plan=executors.Plan(run_s=8.0))
+    job = site.submit(plan=tasks.Plan(run_s=8.0))
     await site.wait_for(job, "completed", timeout_s=20.0)
     await trio.sleep(10.0)
     site.check_runs()
@@ -131,7 +131,7 @@
     site.start_scheduler("a")
     await site.wait_until(site.leader)
     executor.unanswered_calls["/run-start"] = 1
-    job = site.submit(plan=executors.Plan(run_s=0.2))
+    job = site.submit(plan=tasks.Plan(run_s=0.2))
     await site.wait_for(job, "completed", timeout_s=5.0)
     assert len(site.events("start")) == 1
 
@@ -146,7 +146,7 @@
     first.unanswered_calls["/run-start"] = 1
     first.late_effect_s = 2.0
     first.starts_to_refuse = 1
-    job = site.submit(plan=executors.Plan(run_s=6.0))
+    job = site.submit(plan=tasks.Plan(run_s=6.0))
     await trio.sleep(0.5)
     site.add_executor(2)
     await site.wait_for(job, "completed", timeout_s=30.0)
@@ -163,7 +163,7 @@
     await trio.sleep(1.0)
     first.unanswered_calls["/run-start"] = second.unanswered_calls["/run-start"] = 3
     first.late_effect_s = second.late_effect_s = 9.0
-    job = site.submit(plan=executors.Plan(run_s=1.0))
+    job = site.submit(plan=tasks.Plan(run_s=1.0))
     await site.wait_for(job, "completed", timeout_s=30.0)
     await trio.sleep(15.0)
     site.check_runs()
@@ -178,7 +178,7 @@
     await trio.sleep(1.0)
     executor.unanswered_calls["/run-start"] = 1
     executor.late_effect_s, executor.late_effect_survives_restart = 6.0, True
-    job = site.submit(plan=executors.Plan(run_s=4.0))
+    job = site.submit(plan=tasks.Plan(run_s=4.0))
     await trio.sleep(1.0)
     site.crash(executor)
     await trio.sleep(1.0)
@@ -197,7 +197,7 @@
     await trio.sleep(1.0)
     executor.unanswered_calls["/run-start"] = 1
     executor.late_effect_s, executor.late_effect_survives_restart = 0.3, True
-    site.submit(plan=executors.Plan(run_s=4.0))
+    site.submit(plan=tasks.Plan(run_s=4.0))
     await trio.sleep(0.1)
     site.add_executor(2)
     site.crash(executor)
@@ -220,7 +220,7 @@
     executor.boot()
     site.network.hosts[executor.address] = executor.handle
     site.world.store.put("servers/i-1", executor.entry(born_ms=1))
-    site.submit(plan=executors.Plan(run_s=8.0))
+    site.submit(plan=tasks.Plan(run_s=8.0))
     await site.wait_until(lambda: executor.runs, timeout_s=1.0)
     site.add_executor(2)
     executor.list_entry()
@@ -234,7 +234,7 @@
 ) -> None:
     first = site.add_executor(1)
     site.start_scheduler("a")
-    job = site.submit(plan=executors.Plan(run_s=3.0))
+    job = site.submit(plan=tasks.Plan(run_s=3.0))
     await site.wait_for(job, "running")
     second = site.add_executor(2)
     await trio.sleep(1.0)
@@ -250,7 +250,7 @@
 ) -> None:
     first = site.add_executor(1)
     site.start_scheduler("a")
-    job = site.submit(plan=executors.Plan(run_s=20.0))
+    job = site.submit(plan=tasks.Plan(run_s=20.0))
     await site.wait_for(job, "running")
     site.add_executor(2)
     await trio.sleep(1.0)
@@ -266,7 +266,7 @@
 ) -> None:
     first = site.add_executor(1)
     site.start_scheduler("a")
-    job = site.submit(plan=executors.Plan(run_s=30.0))
+    job = site.submit(plan=tasks.Plan(run_s=30.0))
     await site.wait_for(job, "running")
     first.state = "draining"
     first.list_entry()
@@ -302,7 +302,7 @@
     for number in range(3):
         site.add_executor(number)
     site.start_scheduler("a")
-    job = site.submit(gang(3), plan=executors.Plan(run_s=25.0, gang=3))
+    job = site.submit(gang(3), plan=tasks.Plan(run_s=25.0, gang=3))
     await site.wait_for(job, "running")
     site.kv.faults = faults
     await trio.sleep(20.0)
@@ -320,7 +320,7 @@
     site.start_scheduler("a")
     await site.wait_until(site.leader)
     site.kv.faults = kv.Faults(lose=0.4, late_s=late_s)
-    jobs = [site.submit(plan=executors.Plan(run_s=0.5)) for _ in range(6)]
+    jobs = [site.submit(plan=tasks.Plan(run_s=0.5)) for _ in range(6)]
     for job in jobs:
         await site.wait_for(job, "completed", timeout_s=200.0)
     site.check_runs()
@@ -332,7 +332,7 @@
     for number in range(3):
         site.add_executor(number)
     site.start_scheduler("a")
-    running = site.submit(gang(2), plan=executors.Plan(run_s=10.0, gang=2))
+    running = site.submit(gang(2), plan=tasks.Plan(run_s=10.0, gang=2))
     await site.wait_for(running, "running")
     site.start_scheduler("b")
     await trio.sleep(1.0)
@@ -349,11 +349,11 @@
     site.add_executor(1)
     for name in ("a", "b"):
         site.start_scheduler(name)
-    await site.wait_for(site.submit(plan=executors.Plan(run_s=0.2)), "completed")
+    await site.wait_for(site.submit(plan=tasks.Plan(run_s=0.2)), "completed")
     first = site.leader()
     assert first is not None
     site.kill(first)
-    job = site.submit(plan=executors.Plan(run_s=0.2))
+    job = site.submit(plan=tasks.Plan(run_s=0.2))
     assert await site.wait_for(job, "running", timeout_s=10.0) < 4.0
 
 
@@ -362,7 +362,7 @@
 ) -> None:
     site.add_executor(1)
     site.start_scheduler("a")
-    running = site.submit(plan=executors.Plan(run_s=12.0))
+    running = site.submit(plan=tasks.Plan(run_s=12.0))
     await site.wait_for(running, "running")
     site.start_scheduler("b")
     await trio.sleep(0.5)
@@ -380,7 +380,7 @@
 ) -> None:
     first = site.add_executor(1)
     site.start_scheduler("a")
-    site.submit(plan=executors.Plan(run_s=30.0))
+    site.submit(plan=tasks.Plan(run_s=30.0))
     await site.wait_until(lambda: site.events("start"))
     site.kill("a")
     site.crash(first)
@@ -401,7 +401,7 @@
     await site.wait_for(site.submit(), "completed")
     site.kill("a")
     site.nursery.start_soon(_restart_scheduler, site)
-    job = site.submit(plan=executors.Plan(run_s=0.1))
+    job = site.submit(plan=tasks.Plan(run_s=0.1))
     assert await site.wait_for(job, "completed") < 1.0
 
 
--- a/tests/control/test_upkeep.py
+++ b/tests/control/test_upkeep.py
@@ -8,7 +8,7 @@
 import trio
 
 from bronzequay.core import model
-from bronzequay.fakes import executors
+from bronzequay.fakes import tasks
 
 if TYPE_CHECKING:
     from trio.testing import MockClock
@@ -26,7 +26,7 @@
         estimate_s=60.0,
         saves_progress=True,
     )
-    site.submit(step, plan=executors.Plan(run_s=60.0, saves=True))
+    site.submit(step, plan=tasks.Plan(run_s=60.0, saves=True))
 
 
 @pytest.mark.parametrize("is_busy", [False, True])
@@ -99,7 +99,7 @@
         site.add_executor(number)
     site.start_scheduler("a")
     serving = model.Step(count=3, need=model.Resources(1000, 1000, 8), is_endless=True, may_miss=1)
-    job = site.submit(serving, plan=executors.Plan(lasts=True))
+    job = site.submit(serving, plan=tasks.Plan(lasts=True))
     await site.wait_for(job, "running")
     await trio.sleep(2.0)
     site.request_wave(*WAVE, within_s=30.0, most_down=2)
--- a/tests/own/test_queries.py
+++ b/tests/own/test_queries.py
@@ -13,7 +13,7 @@
 from bronzequay import ids
 from bronzequay.control import keys, status, sweep
 from bronzequay.core import model
-from bronzequay.fakes import executors
+from bronzequay.fakes import tasks
 from bronzequay.front import config_watcher
 from bronzequay.net import server
 from bronzequay.own import queries, records
@@ -74,7 +74,7 @@
     site.add_executor(1)
     site.start_scheduler("a")
     caller = await start_caller(site)
-    job = site.submit(plan=executors.Plan(run_s=2.0))
+    job = site.submit(plan=tasks.Plan(run_s=2.0))
     await site.wait_for(job, "completed")
     job_body = await caller.read(f"/v1/jobs/{job}")
     assert job_body["state"] == "finished"
@@ -89,7 +89,7 @@
     site.add_executor(1)
     site.start_scheduler("a")
     caller = await start_caller(site)
-    job = site.submit(plan=executors.Plan(run_s=0.2, fails=9))
+    job = site.submit(plan=tasks.Plan(run_s=0.2, fails=9))
     await site.wait_for(job, "failed")
     why_body = await caller.read(f"/v1/jobs/{job}/why")
     assert why_body["why"] == "failed: task 0 of step 0 failed 3 times, last on i-1@1"
@@ -102,7 +102,7 @@
     site.start_scheduler("a")
     caller = await start_caller(site)
     step = model.Step(count=2, need=model.Resources(1000, 1000, 8), estimate_s=1.0, is_gang=True)
-    job = site.submit(step, plan=executors.Plan(gang=2))
+    job = site.submit(step, plan=tasks.Plan(gang=2))
     await trio.sleep(1.0)
     why = (await caller.read(f"/v1/jobs/{job}/why"))["why"]
     assert why == (
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bronzequay.fakes import executors, kv
+from bronzequay.fakes import executors, kv, tasks
 from soak import invariants
 
 Event = tuple[str, str, str, int]
@@ -72,6 +72,6 @@
     world = executors.World(kv.Kv())
     executor = world.add(A, "127.0.0.1:1")
     for number, gpu in enumerate((4, 5)):
-        plan = executors.Plan(gpu=gpu)
-        executor.runs[f"job.0.0.{number}"] = executors.Run(f"job.0.0.{number}", 1, plan, 0, 0)
+        plan = tasks.Plan(gpu=gpu)
+        executor.runs[f"job.0.0.{number}"] = tasks.Run(f"job.0.0.{number}", 1, plan, 0, 0)
     assert invariants.over_capacity(world) == ["i-a holds 9 of 8 GPUs"]
