Give up tasks that crash the workers that start them

Cause: only ends that a worker lists as failed count as attempts. A run that is lost with its worker is started again in the pass that notices the loss, without limit, and on workers with other work. worker_lost shows it: every crash followed the start of the same task within a second of its worker's last listing, while the rest of the rack answered. Ruled out: a failing rack (no mates silent, in all but the injected failures), and a start that is sent again (one start a run).

Change: crashes are counted under each task and journaled with its job. Tasks that the worker had not yet seen run are suspects and start apart from others, so that the next crash shows which of them is to blame. A job is given up after two crashes at a start that only its step can have caused, or after four crashes under one task. Losses by drain, upkeep and the power of a rack do not count, and those of a worker that was only silent are taken back.

--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -241,9 +241,11 @@
         if worker is None:
             return
         worker.heard_s = state.now_s
+        losses.forgive(state, worker)
         for ended in listing.ended:
             lifecycle.end_run(state, self.worker, ended.key, ended.run, ended.end, ended.checkpoint)
         _update_running(state, worker, listing.running)
+        losses.clear_suspects(state, worker)
         health.stop_stalled_runs(state, worker)
         evacuate.stop_unfinishable_runs(state, worker)
         pacing.adjust_filler_speed(state, worker)
--- a/src/bronzequay/core/explain.py
+++ b/src/bronzequay/core/explain.py
@@ -58,6 +58,8 @@
         parts.append("all have to start at once")
     if step.failures or any(task.failures for task in step.tasks):
         parts.append(f"{count_failures(job)} runs have failed")
+    if any(task.crashes for task in step.tasks):
+        parts.append(f"workers crashed under {sum(task.crashes > 0 for task in step.tasks)} tasks")
     reservation = state.reservations.get(step.key)
     if reservation is not None:
         how = "is being freed" if reservation.is_preempting else "is expected to become free"
--- a/src/bronzequay/core/lifecycle.py
+++ b/src/bronzequay/core/lifecycle.py
@@ -70,7 +70,7 @@
     """Cancel a job; does nothing if it is unknown or final."""
     job = state.jobs.get(job_id)
     if job is not None and not job.is_final:
-        _end_job(state, job, model.JobState.CANCELLED, "cancelled by its caller")
+        end_job(state, job, model.JobState.CANCELLED, "cancelled by its caller")
 
 
 def start(state: State, step: StepRun, placement: Sequence[tuple[Task, Worker]]) -> None:
@@ -270,7 +270,7 @@
     if failures >= queue.attempts:
         subject = "the gang" if step.spec.is_gang else f"task {task.key.number}"
         reason = f"{subject} of step {step.number} failed {failures} times, last on {worker}"
-        _end_job(state, step.job, model.JobState.FAILED, reason)
+        end_job(state, step.job, model.JobState.FAILED, reason)
 
 
 def _complete_step(state: State, step: StepRun) -> None:
@@ -286,7 +286,7 @@
     if not occurrence.is_done:
         open_ready_steps(state, occurrence)
     elif _is_complete(job):
-        _end_job(state, job, model.JobState.COMPLETED)
+        end_job(state, job, model.JobState.COMPLETED)
 
 
 def _is_complete(job: Job) -> bool:
@@ -295,7 +295,8 @@
     )
 
 
-def _end_job(state: State, job: Job, outcome: model.JobState, reason: str = "") -> None:
+def end_job(state: State, job: Job, outcome: model.JobState, reason: str = "") -> None:
+    """End a job and stop its tasks."""
     job.state = outcome
     job.reason = reason
     state.record_decision("job_ended", job.spec.job, outcome=outcome.value, reason=reason)
@@ -323,7 +324,7 @@
 def add_worker(state: State, spec: model.WorkerSpec) -> Worker:
     """Add an incarnation of a worker, with the tasks that earlier terms placed on it."""
     worker = states.Worker(spec)
-    worker.heard_s = state.now_s
+    worker.joined_s = worker.heard_s = state.now_s
     state.workers[spec.worker] = worker
     for task in state.orphaned_tasks.pop(spec.worker, {}).values():
         step = state.step_of(task.key)
@@ -384,6 +385,7 @@
     "allocate",
     "cancel",
     "confirm",
+    "end_job",
     "end_lost_runs",
     "end_run",
     "may_stop_another",
--- a/src/bronzequay/core/losses.py
+++ b/src/bronzequay/core/losses.py
@@ -1,20 +1,37 @@
-"""Losses of workers: why a worker is gone, and which runs were on it."""
+"""Losses of workers, and the tasks that are suspected of having caused them.
+
+A crash of a worker has two kinds of cause that look alike: a task that runs on it, and the machine
+or its rack. A task whose worker crashes as it starts is a suspect. Suspects are started apart from
+other tasks, see ``isolate``, so that a further crash shows which of them is the cause.
+"""
 
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from bronzequay import figures
+from bronzequay.core import isolate, lifecycle, model
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
+    from bronzequay import ids
     from bronzequay.core.state import State, Task, Worker
 
+MIN_FATAL_STARTS = 2
+"""Crashes at the starts of a task after which it is given up, if only its step can have caused the
+last one."""
+MAX_CRASHES = 4
+"""Crashes under a task after which it is given up, whatever else ran on those workers."""
 SILENCE_S = 2.0
 """Time since its last listing after which a worker counts as silent; a sound one sends a listing
-every 1.6 s at most."""
+every 1.6 s at most. A start that follows the last listing within this time may have been received.
+"""
+SERVICE_MEMORY_S = 600.0
+"""Run time after which the crashes under a task of a service are forgotten."""
+RACK_MEMORY_S = 15.0
+"""Time for which lost workers count as silent members of their rack."""
 MAX_LOGGED_RUNS = 10
 
 
@@ -33,23 +50,173 @@
     ABSENT = "absent"
 
 
+_COUNTED_LOSSES = frozenset({Loss.CRASHED, Loss.LAPSED})
+
+
+class LostWorker(NamedTuple):
+    """A worker that was lost a short time ago.
+
+    :param heard_s: when its last listing was applied
+    :param steps: steps that had runs on it
+    """
+
+    rack: str
+    heard_s: float
+    lost_s: float
+    steps: frozenset[model.StepKey]
+
+
 def record(state: State, worker: Worker, loss: Loss) -> None:
-    """Log and count the loss of a worker with the runs on it."""
-    mates, silent = _rack_mates(state, worker)
+    """Record that the runs on a worker are lost, before they are ended.
+
+    A task under which too many workers have crashed is given up with its job. A worker whose leases
+    have lapsed may only be unreachable: ``forgive`` takes its crashes back.
+    """
+    mates = _rack_mates(state, worker)
+    silent_mates = [mate for mate in mates if _fell_silent_together(state, worker, mate)]
+    tasks = list(worker.tasks.values())
     _log_loss(
         state,
-        worker.tasks.values(),
+        tasks,
         worker=worker.spec.worker,
         why=loss.value,
         silent_s=round(state.now_s - worker.heard_s, 2),
         rack=worker.spec.rack,
-        rack_silent=f"{silent} of {mates}",
+        rack_silent=f"{len(silent_mates)} of {len(mates)}",
     )
+    if loss is Loss.CRASHED:
+        state.lost_workers.append(_as_lost(state, worker))
+    if loss not in _COUNTED_LOSSES:
+        return
+    suspects = [
+        task
+        for task in tasks
+        if _may_have_begun(worker, task) and not _is_rack_failure(task, len(mates), silent_mates)
+    ]
+    _count(state, worker, suspects, is_certain=loss is Loss.CRASHED)
 
 
-def record_absent(state: State, worker: str, tasks: Iterable[Task]) -> None:
-    """Log and count the loss of a worker that has not joined in this term."""
+def record_absent(state: State, worker: ids.WorkerId, tasks: Sequence[Task]) -> None:
+    """Record the loss of a worker that has not joined in this term, before its runs are ended."""
     _log_loss(state, tasks, worker=worker, why=Loss.ABSENT.value)
+    for task in tasks:
+        task.crashes += 1
+    _give_up(state, worker, tasks, is_certain=False)
+
+
+def forgive(state: State, worker: Worker) -> None:
+    """Take back the crashes of a worker that was only unreachable."""
+    for task, was_starting in worker.lapsed_tasks:
+        task.crashes = max(0, task.crashes - 1)
+        task.fatal_starts = max(0, task.fatal_starts - was_starting)
+        state.dirty_jobs.update({task.key.job} & state.jobs.keys())
+    worker.lapsed_tasks = []
+
+
+def clear_suspects(state: State, worker: Worker) -> None:
+    """Clear the suspects on a worker whose start it has survived.
+
+    A service runs for months; its tasks are cleared of all crashes after a long run.
+    """
+    for task in worker.tasks.values():
+        if task.fatal_starts and isolate.is_past_start(task):
+            task.fatal_starts = 0
+            state.dirty_jobs.add(task.key.job)
+        if task.crashes and state.now_s - task.started_s > SERVICE_MEMORY_S:
+            step = state.step_of(task.key)
+            if step is not None and step.spec.is_endless:
+                task.crashes = 0
+                state.dirty_jobs.add(task.key.job)
+
+
+def _count(state: State, worker: Worker, suspects: list[Task], *, is_certain: bool) -> None:
+    """Count a crash for the tasks that may have caused it."""
+    starting = [task for task in suspects if _was_starting(task)]
+    for task in suspects:
+        task.crashes += 1
+        state.dirty_jobs.add(task.key.job)
+    for task in starting:
+        task.fatal_starts += 1
+        state.suspect_steps.add(model.StepKey(*task.key[:3]))
+    if not is_certain:
+        worker.lapsed_tasks = [(task, task in starting) for task in suspects]
+    _give_up(state, worker.spec.worker, starting or suspects, is_certain=is_certain)
+    if starting:
+        _give_up(state, worker.spec.worker, suspects, is_certain=False)
+
+
+def _give_up(
+    state: State, worker: ids.WorkerId, candidates: Sequence[Task], *, is_certain: bool
+) -> None:
+    """Fail the jobs of the tasks under which too many workers have crashed.
+
+    :param candidates: tasks that are most likely to have caused the last crash
+    :param is_certain: whether the worker has crashed for certain
+    """
+    is_only_step = len({task.key[:3] for task in candidates}) == 1
+    for task in candidates:
+        step = state.step_of(task.key)
+        if step is None or step.is_done or step.job.is_final:
+            continue
+        is_identified = is_certain and is_only_step and task.is_confirmed
+        if is_identified and task.fatal_starts >= MIN_FATAL_STARTS:
+            what = f"crashed its worker at {task.fatal_starts} starts"
+        elif task.crashes >= MAX_CRASHES:
+            what = f"was on {task.crashes} workers as they crashed"
+        else:
+            continue
+        subject = f"task {task.key.number} of step {task.key.step}"
+        reason = f"{subject} {what}, last on {worker}"
+        lifecycle.end_job(state, step.job, model.JobState.FAILED, reason)
+
+
+def _was_starting(task: Task) -> bool:
+    """Return whether a task of this term had not run for long when its worker fell silent."""
+    is_of_this_term = task.is_confirmed or task.phase is not model.Phase.RUNNING
+    return is_of_this_term and not isolate.is_past_start(task)
+
+
+def _may_have_begun(worker: Worker, task: Task) -> bool:
+    is_inherited = task.phase is model.Phase.RUNNING
+    return task.is_confirmed or is_inherited or task.started_s - worker.heard_s < SILENCE_S
+
+
+def _rack_mates(state: State, worker: Worker) -> list[LostWorker]:
+    """Return the other workers that its rack had when a worker was last heard."""
+    rack, heard_s = worker.spec.rack, worker.heard_s
+    if not rack:
+        return []
+    state.lost_workers = [
+        lost for lost in state.lost_workers if state.now_s - lost.lost_s < RACK_MEMORY_S
+    ]
+    present = [
+        _as_lost(state, mate)
+        for mate in state.workers.values()
+        if mate is not worker and mate.spec.rack == rack and mate.joined_s <= heard_s
+    ]
+    return present + [
+        lost for lost in state.lost_workers if lost.rack == rack and lost.lost_s > heard_s
+    ]
+
+
+def _fell_silent_together(state: State, worker: Worker, mate: LostWorker) -> bool:
+    is_silent = state.now_s - mate.heard_s > SILENCE_S
+    return is_silent and abs(mate.heard_s - worker.heard_s) < SILENCE_S
+
+
+def _is_rack_failure(task: Task, mate_count: int, silent_mates: list[LostWorker]) -> bool:
+    """Return whether half of the other workers of a rack crashed with a task's worker.
+
+    Those that ran the same step may have crashed because of it and do not count.
+    """
+    step = model.StepKey(*task.key[:3])
+    unrelated = sum(step not in mate.steps for mate in silent_mates)
+    return unrelated > 0 and unrelated * 2 >= mate_count
+
+
+def _as_lost(state: State, worker: Worker) -> LostWorker:
+    steps = frozenset(model.StepKey(*key[:3]) for key in worker.tasks)
+    return LostWorker(worker.spec.rack, worker.heard_s, state.now_s, steps)
 
 
 def _log_loss(state: State, tasks: Iterable[Task], *, why: str, **inputs: object) -> None:
@@ -69,14 +236,11 @@
     return f"{key.job}.{key.occurrence}.{key.step}.{key.number}/{task.run} {age_s:.1f} s {known}"
 
 
-def _rack_mates(state: State, worker: Worker) -> tuple[int, int]:
-    """Return how many other workers its rack has, and how many of these are silent."""
-    mates = [
-        mate
-        for mate in state.workers.values()
-        if mate is not worker and mate.spec.rack == worker.spec.rack
-    ]
-    return len(mates), sum(state.now_s - mate.heard_s > SILENCE_S for mate in mates)
-
-
-__all__ = ["Loss", "record", "record_absent"]
+__all__ = [
+    "Loss",
+    "LostWorker",
+    "clear_suspects",
+    "forgive",
+    "record",
+    "record_absent",
+]
--- a/src/bronzequay/core/place.py
+++ b/src/bronzequay/core/place.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from bronzequay.core import advice, model, rollout
+from bronzequay.core import advice, isolate, model, rollout
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
@@ -193,7 +193,7 @@
     """
     waiting = step.waiting_tasks
     if not step.spec.is_gang:
-        return _pack(state, waiting, view.workers_with_room(step), step, view)
+        return _place_single_tasks(state, step, view)
     if len(waiting) < step.spec.count:
         return []
     best: Placement = []
@@ -202,7 +202,9 @@
     for group in view.candidate_groups(step):
         if sum(worker.free_gpu for worker in group) < need.gpu * step.spec.count:
             continue
-        placement = _pack(state, waiting, group, step, view)
+        placement = _pack(
+            state, waiting, group, step, view, is_suspect=isolate.has_suspects(state, step)
+        )
         if len(placement) == len(waiting):
             suspect_count = sum(_has_failures(worker, step) for _, worker in placement)
             leaving_count = sum(
@@ -219,6 +221,22 @@
     return best
 
 
+def _place_single_tasks(state: State, step: StepRun, view: FleetView) -> Placement:
+    """Find workers for tasks outside a gang; suspects all start on one worker."""
+    waiting, workers = step.waiting_tasks, view.workers_with_room(step)
+    if not isolate.has_suspects(state, step):
+        return _pack(state, waiting, workers, step, view)
+    suspects = [task for task in waiting if task.fatal_starts]
+    others = [task for task in waiting if not task.fatal_starts]
+    placement: Placement = []
+    if suspects and not isolate.is_suspect_starting(step):
+        placement = _pack(state, suspects, workers, step, view, is_suspect=True)
+        placement = [place for place in placement if place[1] is placement[0][1]]
+    used = [worker for _, worker in placement[:1]]
+    free = [worker for worker in workers if worker not in used]
+    return placement + _pack(state, others, free, step, view)
+
+
 def _has_failures(worker: Worker, step: StepRun) -> bool:
     """Return whether jobs failed on a worker since its last success, or this step failed there."""
     return bool(worker.failed_jobs) or worker.spec.machine in step.failed_machines
@@ -230,22 +248,32 @@
 
 
 def _pack(
-    state: State, waiting: list[Task], workers: list[Worker], step: StepRun, view: FleetView
+    state: State,
+    waiting: list[Task],
+    workers: list[Worker],
+    step: StepRun,
+    view: FleetView,
+    *,
+    is_suspect: bool = False,
 ) -> Placement:
     """Assign tasks in order of preference, as far as workers have room.
 
-    Workers without recent failures come first, then the rack near the data, then those that are
+    For suspects the workers with the fewest tasks come first. Then workers without recent failures
+    come first, then the rack near the data, then those that are
     not about to be replaced, then the racks and workers with the fewest free accelerators.
     """
     rack = step.spec.data_rack
     need = states.allocation_of(step.spec)
     until_s = state.now_s + step.spec.estimate_s
     free_gpus_by_rack: dict[str, int] = {}
+    must_be_apart = any(isolate.may_wait(state, step, task) for task in waiting)
     slots = []
     for worker in workers:
         free_gpus_by_rack[worker.spec.rack] = (
             free_gpus_by_rack.get(worker.spec.rack, 0) + worker.free_gpu
         )
+        if must_be_apart and not isolate.may_start_on(state, worker, step, is_suspect=is_suspect):
+            continue
         if worker.free_gpu >= need.gpu and worker.free_cpu >= need.cpu:
             fits = view.unreserved_room(worker, until_s).count_fitting(
                 need, max_additional_tasks(worker, step)
@@ -254,6 +282,7 @@
                 slots.append((worker, fits))
     slots.sort(
         key=lambda slot: (
+            len(slot[0].tasks) if is_suspect else 0,
             _has_failures(slot[0], step),
             bool(rack) and slot[0].spec.rack != rack,
             rollout.is_leaving_soon(state, slot[0], step.spec),
--- a/src/bronzequay/core/records.py
+++ b/src/bronzequay/core/records.py
@@ -28,6 +28,8 @@
     worker: int = NOT_PLACED
     failures: int = 0
     checkpoint: str = ""
+    crashes: int = 0
+    fatal_starts: int = 0
 
 
 class StepRecord(msgspec.Struct, array_like=True):
@@ -88,7 +90,14 @@
         worker_index = workers.setdefault(task.worker, len(workers))
     is_done = task.phase is model.Phase.DONE
     return TaskRecord(
-        task.key.number, is_done, task.run, worker_index, task.failures, task.checkpoint
+        task.key.number,
+        is_done,
+        task.run,
+        worker_index,
+        task.failures,
+        task.checkpoint,
+        task.crashes,
+        task.fatal_starts,
     )
 
 
@@ -136,6 +145,9 @@
         task = step.tasks[task_record.index]
         task.run = task_record.run
         task.failures = task_record.failures
+        task.crashes, task.fatal_starts = task_record.crashes, task_record.fatal_starts
+        if task.fatal_starts:
+            state.suspect_steps.add(step.key)
         task.checkpoint = task_record.checkpoint
         task.phase_since_s = task.started_s = state.now_s
         if task_record.worker != NOT_PLACED:
--- a/src/bronzequay/core/schedule.py
+++ b/src/bronzequay/core/schedule.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from bronzequay.core import advice, lifecycle, order, place, preempt, reserve, upkeep
+from bronzequay.core import advice, isolate, lifecycle, order, place, preempt, reserve, upkeep
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
@@ -35,10 +35,9 @@
     them. Within both groups the rank decides.
     """
     state.is_changed = False
-    for job in list(state.jobs.values()):
-        if job.next_occurrence < job.occurrence_count and not job.is_final:
-            lifecycle.open_due_occurrences(state, job)
+    _open_due_occurrences(state)
     lifecycle.stop_partial_gangs(state)
+    isolate.drop_cleared_steps(state)
     upkeep.run(state)
     guaranteed = order.guaranteed_jobs(state)
     ranks = {key: order.rank(state, step, guaranteed) for key, step in state.open_steps.items()}
@@ -55,6 +54,8 @@
         queue = state.queue_of(step.job)
         if queue is not None and queue.requires_advice:
             advice.request_tickets(state, step, view.eligible_workers(step))
+        if isolate.waits_apart(state, step):
+            continue
         reservation = reservations.get(key)
         if reservation is None or not _may_keep_reservation(
             state, step, view, reservation, ranks[key][0]
@@ -68,6 +69,12 @@
                 )
 
 
+def _open_due_occurrences(state: State) -> None:
+    for job in list(state.jobs.values()):
+        if job.next_occurrence < job.occurrence_count and not job.is_final:
+            lifecycle.open_due_occurrences(state, job)
+
+
 def _may_keep_reservation(
     state: State,
     step: StepRun,
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -10,7 +10,7 @@
     from collections.abc import Iterator
 
     from bronzequay import ids
-    from bronzequay.core import reserve, rollout, upkeep
+    from bronzequay.core import losses, reserve, rollout, upkeep
 
     Decision = tuple[str, ids.JobId | None, dict[str, Any]]
 
@@ -35,6 +35,8 @@
     :ivar phase_since_s: when the phase began
     :ivar first_sample: first progress report of the current run
     :ivar last_sample: latest progress report of the current run
+    :ivar crashes: workers that crashed while the task was on them, or may have
+    :ivar fatal_starts: those that crashed as the task started; 0 once a worker has survived a start
     :ivar progressed_s: when the progress of the current run last increased
     :ivar started_s: when the start of the current run was ordered; the beginning of the term if an
         earlier term ordered it
@@ -44,7 +46,9 @@
 
     __slots__ = (
         "checkpoint",
+        "crashes",
         "failures",
+        "fatal_starts",
         "first_sample",
         "is_confirmed",
         "key",
@@ -66,6 +70,8 @@
         self.worker: ids.WorkerId | None = None
         self.checkpoint = ""
         self.failures = 0
+        self.crashes = 0
+        self.fatal_starts = 0
         self.is_confirmed = False
         self.phase_since_s = 0.0
         self.first_sample: ProgressSample | None = None
@@ -224,7 +230,10 @@
 
     :ivar stray_runs: runs on the worker that belong to no task there and were ordered to stop
     :ivar is_ready: its runs are known, so tasks can be placed on it
+    :ivar joined_s: when it was added
     :ivar heard_s: when its last listing was applied, or when it was added
+    :ivar lapsed_tasks: tasks whose runs were given up as its leases lapsed, and whether they were
+        starting then
     :ivar is_held_for_upkeep: gets no tasks because its machine is next in a wave of upkeep
     :ivar departure_s: when a draining worker is expected to leave
     :ivar quarantined_until_s: until when it gets no tasks
@@ -241,7 +250,8 @@
         self.tasks: dict[model.TaskKey, Task] = {}
         self.stray_runs: set[tuple[model.TaskKey, int]] = set()
         self.is_ready = False
-        self.heard_s = 0.0
+        self.joined_s = self.heard_s = 0.0
+        self.lapsed_tasks: list[tuple[Task, bool]] = []
         self.is_draining = False
         self.is_held_for_upkeep = False
         self.departure_s: float | None = None
@@ -260,6 +270,8 @@
     :ivar open_steps: steps that are ready and have waiting tasks
     :ivar reservations: room that steps wait for
     :ivar orphaned_tasks: tasks placed on workers that have not joined, by worker
+    :ivar suspect_steps: steps with tasks whose workers crashed as they started
+    :ivar lost_workers: workers that crashed a short time ago
     :ivar dirty_jobs: jobs whose record changed
     :ivar retired_jobs: jobs that have ended and have no placed tasks, until they are committed
     :ivar ended_jobs: when jobs were retired in this term
@@ -281,6 +293,8 @@
         self.open_steps: dict[model.StepKey, StepRun] = {}
         self.reservations: dict[model.StepKey, reserve.Reservation] = {}
         self.orphaned_tasks: dict[ids.WorkerId, dict[model.TaskKey, Task]] = {}
+        self.suspect_steps: set[model.StepKey] = set()
+        self.lost_workers: list[losses.LostWorker] = []
         self.dirty_jobs: set[ids.JobId] = set()
         self.retired_jobs: list[Job] = []
         self.ended_jobs: dict[ids.JobId, float] = {}
--- a/src/bronzequay/fakes/executors.py
+++ b/src/bronzequay/fakes/executors.py
@@ -235,6 +235,7 @@
 
     async def handle(self, req: server.Request) -> server.Response:
         """Answer a call."""
+        incarnation = self.born_ms
         if not self.is_up:
             await trio.sleep_forever()
         if self.unanswered_calls.get(req.path, 0) > 0:
@@ -245,14 +246,14 @@
                 self._execute(req)
             await trio.sleep_forever()
         answer = self._execute(req)
-        if not self.is_up:
-            await trio.sleep_forever()
         body = msgspec.json.decode(req.body) if req.body else {}
         if req.path == "/hold" and answer.status == 200:  # noqa: PLR2004
             with trio.move_on_after(body.get("waitMs", 0) / 1000):
                 while not self._has_unacknowledged_ends():
                     await self.changed.wait()
             answer = self._list_runs()
+        if not self.is_up or self.born_ms != incarnation:
+            await trio.sleep_forever()
         return answer
 
     async def _execute_late(self, req: server.Request, late_effect_s: float) -> None:
--- a/tests/control/test_crash.py
+++ b/tests/control/test_crash.py
@@ -80,9 +80,8 @@
             functools.partial(has_begun_or_failed, site, job, number), timeout_s=60.0
         )
         await trio.sleep(0.1)
-        leader = site.leader()
-        assert leader is not None
-        site.kill(leader)
+        await site.wait_until(lambda: site.leader() in site.scopes)
+        site.kill(str(site.leader()))
         site.start_scheduler(f"s{number}")
     await site.wait_for(job, "failed", timeout_s=60.0)
     assert start_counts(site, job)[f"{job}.0.0.0"] <= TOLERATED_STARTS
