End unanswered starts at once when another executor answers in a worker's place

A start may reach a later incarnation of its worker and is waited for: 15 s, and the longest run lease if that incarnation cannot be reached. This also held when the executor that answered at the address had another id. Such an executor refuses every order that names the old id (421), so that nothing was to be waited for; its own answer 421 had shown that.

Change: when an executor with another id answers, the unanswered starts of the old one end with it. A restart under the same id is handled as before.

--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -93,7 +93,7 @@
     def _on_entry(self, entry: workers.ExecutorEntry) -> None:
         current = self._sessions.get(entry.executor)
         if current is not None and current.worker != entry.spec.worker:
-            self.end_session(current, is_replaced=True)
+            self.end_session(current, session.Ending.RESTARTED)
             current = None
         if current is None:
             barred = self._unanswered_starts.pop(entry.executor, ())
@@ -118,23 +118,24 @@
         worker = current.worker
         self._term.post(lambda state: _mark_draining(state, worker))
 
-    def end_session(self, ended: session.Session, *, is_replaced: bool) -> None:
+    def end_session(self, ended: session.Session, ending: session.Ending) -> None:
         """End a session whose worker incarnation is over, and the runs of that incarnation.
 
         A start that went unanswered may still reach a later incarnation under the same id, so its
-        run is ended only once that incarnation has barred it.
-
-        :param is_replaced: whether it is known that the incarnation has ended
+        run is ended only once that incarnation has barred it. An executor with another id at the
+        address refuses the start.
         """
         executor = ended.entry.executor
         if self._sessions.get(executor) is not ended:
             return
         del self._sessions[executor]
         unanswered = ended.close()
+        if ending is session.Ending.ID_REPLACED:
+            unanswered = ()
         self._unanswered_starts[executor] = unanswered
         barred = {(start.key, start.run) for start in unanswered}
         loss = losses.Loss.LAPSED
-        if is_replaced:
+        if ending is not session.Ending.LAPSED:
             loss = losses.Loss.LEFT if ended.entry.is_draining else losses.Loss.CRASHED
         self._term.post(lambda state: _remove_worker(state, ended.worker, barred, loss))
         if unanswered:
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 import structlog
@@ -41,6 +42,19 @@
 _log = structlog.get_logger()
 
 
+class Ending(enum.Enum):
+    """How it is known that the incarnation of a session is over.
+
+    RESTARTED: the executor has left, and may have started again under its id. ID_REPLACED: an
+    executor with another id answers at its address and refuses what was sent to this one. LAPSED:
+    its run leases have expired and the store no longer lists it; it may still be running.
+    """
+
+    RESTARTED = "restarted"
+    ID_REPLACED = "id_replaced"
+    LAPSED = "lapsed"
+
+
 class Session:
     """Session with one incarnation of a worker.
 
@@ -119,7 +133,7 @@
                 )
             elif self._is_incarnation_over(reply):
                 _log.info("worker_life_over", worker=self.worker, outcome=reply.outcome.value)
-                self._term.roster.end_session(self, is_replaced=True)
+                self._term.roster.end_session(self, _ending_of(reply))
                 return
             elif self._on_no_answer():
                 return
@@ -202,7 +216,7 @@
         lifecycle.end_lost_runs(state, self.worker)
 
     def _end(self) -> bool:
-        self._term.roster.end_session(self, is_replaced=False)
+        self._term.roster.end_session(self, Ending.LAPSED)
         return True
 
     async def _on_listing(self, listing: workers.Listing, sent_s: float) -> None:
@@ -289,6 +303,12 @@
                 lifecycle.end_run(state, self.worker, task.key, task.run, model.End.NEVER_RAN)
 
 
+def _ending_of(reply: workers.Reply) -> Ending:
+    """Return how an answer, or the lack of a listener, shows that an incarnation is over."""
+    is_other_id = reply.outcome is workers.Outcome.OTHER_INCARNATION
+    return Ending.ID_REPLACED if is_other_id else Ending.RESTARTED
+
+
 def _update_running(state: State, worker: Worker, running: tuple[workers.ActiveRun, ...]) -> None:
     for run in running:
         lifecycle.confirm(state, worker.spec.worker, run.key, run.run)
--- a/tests/control/test_crash.py
+++ b/tests/control/test_crash.py
@@ -146,3 +146,18 @@
         await trio.sleep(2.0)
     await site.wait_for(job, "completed", timeout_s=60.0)
     site.check_runs()
+
+
+async def test_an_unanswered_start_does_not_hold_a_gang_up_once_its_worker_is_replaced(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against a gang that waits 15 s for a start which the next executor would refuse."""
+    first, second = site.add_executor(0), site.add_executor(1)
+    site.start_scheduler("a")
+    await site.wait_until(site.leader)
+    first.unanswered_calls["/run-start"] = 3
+    job = site.submit(gang(2), plan=tasks.Plan(run_s=2.0, gang=2))
+    await site.wait_until(lambda: second.runs)
+    site.world.crash(first)
+    await site.wait_for(job, "completed", timeout_s=10.0)
+    site.check_runs()
