Start no work on a worker that has stopped answering

Seen: jobs that were placed on a crashed worker after its crash waited for it until another incarnation answered, 3 s, or until its run leases had expired, 5 s, with other workers free.

Cause: a worker stayed eligible from its last answer until its incarnation was known to be over or its leases had expired. Crashed workers have the most free room on paper, as their runs never end.

Change: a worker whose last call went unanswered gets no starts until it answers. The call after an unanswered one does not wait for an end of a run, so that a worker that was only slow is back at once.

--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -84,6 +84,7 @@
         self._deadline_ms = 0.0
         self._has_listing = False
         self._is_lost = False
+        self._is_unanswered = False
         self._answered_s = float("-inf")
         self._pending: tuple[workers.Listing, float] | None = None
         self._is_first_pending = False
@@ -167,13 +168,18 @@
         reply = await client.hold(
             last_seen_end=self._acked_end,
             deadline_ms=deadline_ms,
-            wait_s=SHARED_LISTING_WAIT_S if self._has_fillers_beside_serving else LISTING_WAIT_S,
+            wait_s=self._listing_wait_s(),
             timeout_s=CALL_TIMEOUT_S,
         )
         if deadline_ms is not None and reply.outcome not in _NOT_SENT:
             self._deadline_ms = max(self._deadline_ms, deadline_ms)
         return reply
 
+    def _listing_wait_s(self) -> float:
+        if self._is_unanswered:
+            return 0.0
+        return SHARED_LISTING_WAIT_S if self._has_fillers_beside_serving else LISTING_WAIT_S
+
     def _worker_clock_ms(self) -> float:
         """Return the present time on the worker's clock if it runs at the rate of ours."""
         assert self._clock_ms is not None  # noqa: S101  # set by the first listing
@@ -201,6 +207,9 @@
 
         :return: whether the session is over, because the store no longer lists the worker either
         """
+        self._is_unanswered = True
+        failed_s = trio.current_time()
+        self._term.post(lambda state: self._mark_silent(state, failed_s))
         if self._is_lost or not self._are_leases_expired():
             return self._is_lost and not self.is_listed and self._end()
         _log.warning("worker_lapsed", worker=self.worker, is_listed=self.is_listed)
@@ -209,6 +218,12 @@
         self._term.post(self._end_lapsed_runs)
         return False
 
+    def _mark_silent(self, state: State, failed_s: float) -> None:
+        """Mark the worker silent unless it has answered since a call failed."""
+        worker = state.workers.get(self.worker)
+        if worker is not None and self._answered_s < failed_s:
+            worker.is_silent = True
+
     def _end_lapsed_runs(self, state: State) -> None:
         worker = state.workers.get(self.worker)
         if worker is not None:
@@ -230,7 +245,7 @@
             max_run_lease_ms = self._term.max_run_lease_s * 1000
             self._deadline_ms = max(self._deadline_ms, listing.clock_ms + max_run_lease_ms)
         is_first = not self._has_listing
-        self._has_listing, self._is_lost = True, False
+        self._has_listing, self._is_lost, self._is_unanswered = True, False, False
         durable = self._post(listing, sent_s, is_first=is_first)
         if listing.ended or is_first:
             with trio.move_on_after(DURABLE_WAIT_S) as scope:
@@ -255,6 +270,8 @@
         if worker is None:
             return
         worker.heard_s = state.now_s
+        state.is_changed |= worker.is_silent
+        worker.is_silent = False
         losses.forgive(state, worker)
         for ended in listing.ended:
             lifecycle.end_run(state, self.worker, ended.key, ended.run, ended.end, ended.checkpoint)
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -230,6 +230,7 @@
 
     :ivar stray_runs: runs on the worker that belong to no task there and were ordered to stop
     :ivar is_ready: its runs are known, so tasks can be placed on it
+    :ivar is_silent: its last call went unanswered, so it gets no tasks
     :ivar joined_s: when it was added
     :ivar heard_s: when its last listing was applied, or when it was added
     :ivar lapsed_tasks: tasks whose runs were given up as its leases lapsed, and whether they were
@@ -250,6 +251,7 @@
         self.tasks: dict[model.TaskKey, Task] = {}
         self.stray_runs: set[tuple[model.TaskKey, int]] = set()
         self.is_ready = False
+        self.is_silent = False
         self.joined_s = self.heard_s = 0.0
         self.lapsed_tasks: list[tuple[Task, bool]] = []
         self.is_draining = False
--- a/tests/control/test_crash.py
+++ b/tests/control/test_crash.py
@@ -161,3 +161,23 @@
     site.world.crash(first)
     await site.wait_for(job, "completed", timeout_s=10.0)
     site.check_runs()
+
+
+async def test_no_work_starts_on_a_worker_that_has_stopped_answering(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against jobs that wait on a crashed worker until its run leases have expired."""
+    for number in range(2):
+        site.add_executor(number)
+    site.start_scheduler("a")
+    site.submit(plan=tasks.Plan(run_s=60.0))
+    await site.wait_until(lambda: any(e.runs for e in site.world.executors.values()))
+    (busy,) = [e for e in site.world.executors.values() if e.runs]
+    site.network.cut.add(("a", busy.address))
+    await trio.sleep(2.5)
+    await site.wait_for(site.submit(plan=tasks.Plan(run_s=1.0)), "completed", timeout_s=2.0)
+    site.network.cut.clear()
+    await trio.sleep(2.0)
+    filling = site.submit(gang(1), model.Step(count=7, need=ONE_GPU, estimate_s=1.0))
+    await site.wait_for(filling, "completed", timeout_s=5.0)
+    site.check_runs()
