Date a worker's listing by its arrival, not by when it is applied

Seen: in a test, the tasks of a rack that lost its power while writes to the store hung were counted as crashing their workers, each of them once.

After the wait all workers seemed to have been heard just now, also those that had crashed 4 s before, so that the silence of their rack did not show.

Change: `heard_s` is the time at which the listing arrived.

Result: the new test failed before (four crashes counted) and passes.

--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -269,7 +269,7 @@
         worker = state.workers.get(self.worker)
         if worker is None:
             return
-        worker.heard_s = state.now_s
+        worker.heard_s = self._answered_s
         state.is_changed |= worker.is_silent
         worker.is_silent = False
         losses.forgive(state, worker)
--- a/src/bronzequay/core/losses.py
+++ b/src/bronzequay/core/losses.py
@@ -56,7 +56,7 @@
 class LostWorker(NamedTuple):
     """A worker that was lost a short time ago.
 
-    :param heard_s: when its last listing was applied
+    :param heard_s: when its last listing arrived
     :param steps: steps that had runs on it
     """
 
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -232,7 +232,7 @@
     :ivar is_ready: its runs are known, so tasks can be placed on it
     :ivar is_silent: its last call went unanswered, so it gets no tasks
     :ivar joined_s: when it was added
-    :ivar heard_s: when its last listing was applied, or when it was added
+    :ivar heard_s: when its last listing arrived, or when it was added
     :ivar lapsed_tasks: tasks whose runs were given up as its leases lapsed, and whether they were
         starting then
     :ivar is_held_for_upkeep: gets no tasks because its machine is next in a wave of upkeep
--- a/tests/control/test_crash.py
+++ b/tests/control/test_crash.py
@@ -11,12 +11,13 @@
 
 from bronzequay.core import model
 from bronzequay.fakes import tasks
-from tests.control.site import ONE_GPU, gang
+from tests.control.site import ONE_GPU, STORE, gang
 
 if TYPE_CHECKING:
     from trio.testing import MockClock
 
     from bronzequay import ids
+    from bronzequay.net import server
     from tests.control.site import Site
 
 AT_ONCE = 0.0
@@ -181,3 +182,36 @@
     filling = site.submit(gang(1), model.Step(count=7, need=ONE_GPU, estimate_s=1.0))
     await site.wait_for(filling, "completed", timeout_s=5.0)
     site.check_runs()
+
+
+async def test_a_rack_that_loses_power_while_writes_hang_is_no_fault_of_its_tasks(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against listings that look recent because a hanging write delayed their use."""
+    are_writes_hanging = False
+
+    async def handle(req: server.Request) -> server.Response:
+        if are_writes_hanging and req.path == "/kv-txn":
+            await trio.sleep_forever()
+        return await site.kv.handle(req)
+
+    site.network.hosts[STORE] = handle
+    for number in range(8):
+        site.add_executor(number, rack=f"r{number % 2}")
+    site.start_scheduler("a")
+    step = model.Step(need=model.Resources(1000, 1000, 7), estimate_s=40.0)
+    jobs = [site.submit(step, plan=tasks.Plan(run_s=40.0)) for _ in range(8)]
+    await site.wait_until(lambda: all(e.runs for e in site.world.executors.values()))
+    site.submit(plan=tasks.Plan(run_s=3.0))
+    await trio.sleep(2.5)
+    are_writes_hanging = True
+    await trio.sleep(1.6)
+    for executor in list(site.world.executors.values()):
+        if executor.labels[1] == "r0":
+            site.world.crash(executor)
+    await trio.sleep(4.0)
+    are_writes_hanging = False
+    await trio.sleep(2.0)
+    state = site.terms["a"]._state
+    again = [task for job in jobs for task in next(state.jobs[job].steps()).tasks if task.run > 1]
+    assert [task.crashes for task in again] == [0] * 4
