Workers that several tasks crash at their starts are no rack failure

Seen: in a test, four tasks of different jobs that crash their workers as they start were not counted, as all four workers of one rack fell silent together. They would have been started again without limit as long as they crashed together.

Cause: a rack counted as failed when half of the other workers of a rack fell silent with a worker and did not run the same step. Where many tasks of a class crash their workers, this holds for sound racks too.

Change: one at least of these workers must have had no task that had just started.

Result: the new test failed before and passes; its second case, work that has run for 5 s, is still excused.

--- a/src/bronzequay/core/losses.py
+++ b/src/bronzequay/core/losses.py
@@ -58,12 +58,14 @@
 
     :param heard_s: when its last listing arrived
     :param steps: steps that had runs on it
+    :param had_starting_tasks: whether a task had just started there, which may have crashed it
     """
 
     rack: str
     heard_s: float
     lost_s: float
     steps: frozenset[model.StepKey]
+    had_starting_tasks: bool
 
 
 def record(state: State, worker: Worker, loss: Loss) -> None:
@@ -207,16 +209,22 @@
 def _is_rack_failure(task: Task, mate_count: int, silent_mates: list[LostWorker]) -> bool:
     """Return whether half of the other workers of a rack crashed with a task's worker.
 
-    Those that ran the same step may have crashed because of it and do not count.
+    Those that ran the same step may have crashed because of it and do not count. Of the others one
+    at least must have had no starting task, since several tasks may crash their workers at once.
     """
     step = model.StepKey(*task.key[:3])
-    unrelated = sum(step not in mate.steps for mate in silent_mates)
-    return unrelated > 0 and unrelated * 2 >= mate_count
+    unrelated = [mate for mate in silent_mates if step not in mate.steps]
+    is_unexplained = any(not mate.had_starting_tasks for mate in unrelated)
+    return is_unexplained and len(unrelated) * 2 >= mate_count
 
 
 def _as_lost(state: State, worker: Worker) -> LostWorker:
-    steps = frozenset(model.StepKey(*key[:3]) for key in worker.tasks)
-    return LostWorker(worker.spec.rack, worker.heard_s, state.now_s, steps)
+    lapsed = [task for task, _ in worker.lapsed_tasks]
+    steps = frozenset(model.StepKey(*task.key[:3]) for task in (*worker.tasks.values(), *lapsed))
+    had_starting_tasks = any(was_starting for _, was_starting in worker.lapsed_tasks) or any(
+        _may_have_begun(worker, task) and _was_starting(task) for task in worker.tasks.values()
+    )
+    return LostWorker(worker.spec.rack, worker.heard_s, state.now_s, steps, had_starting_tasks)
 
 
 def _log_loss(state: State, tasks: Iterable[Task], *, why: str, **inputs: object) -> None:
--- a/tests/core/test_losses.py
+++ b/tests/core/test_losses.py
@@ -217,6 +217,22 @@
     assert task_of(state, 1).crashes == counted
 
 
+@pytest.mark.parametrize(("ran_s", "counted"), [(0.0, 1), (5.0, 0)])
+def test_crashes_at_the_starts_of_several_tasks_are_no_rack_failure(
+    ran_s: float, counted: int
+) -> None:
+    """Guards against excusing tasks that crash all workers of a rack at their starts."""
+    state = build_state(4, per_rack=4)
+    accept(state, 1, 2, 3, 4, step=world.step(1, gpu=8, estimate_s=10.0))
+    names = list(start_all(state, 0.0))
+    for name in names:
+        list_runs(state, name, 0.1)
+        list_runs(state, name, 0.1 + ran_s)
+    for name in names:
+        crash(state, name, 3.2 + ran_s, silent=names)
+    assert [task_of(state, number).crashes for number in (1, 2, 3, 4)] == [counted] * 4
+
+
 def test_a_start_that_a_silent_worker_cannot_have_received_is_not_counted() -> None:
     """Guards against suspecting tasks that were placed on a worker after it had crashed."""
     state = build_state(1)
