Follow a worker's capacity while it runs

Seen: in a test, a worker whose entry stated 3 accelerators in place of 8 was still started 8 tasks on, and one that had grown got no more than before, until the worker restarted.

Cause: the room of a worker was read from its entry once, when the worker joined. Later changes of its entry only updated whether it drains. Nothing else of an entry can change within an incarnation.

Change: each entry that states another capacity changes the free room, which may become negative. Runs go on, since a stop would lose their work; starts that are still unanswered and no longer fit are withdrawn, the newest first and a gang as a whole. New log event `worker_resized`.

--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -9,7 +9,7 @@
 import trio
 
 from bronzequay.control import delivery, prefix, session
-from bronzequay.core import lifecycle, losses, model, rollout
+from bronzequay.core import lifecycle, losses, model, resize, rollout
 from bronzequay.platform import workers
 
 if TYPE_CHECKING:
@@ -106,7 +106,7 @@
         if current.entry.is_draining != entry.is_draining or not current.is_listed:
             _log.info("worker_changed", worker=current.worker, is_draining=entry.is_draining)
         current.entry, current.is_listed = entry, True
-        self._term.post(lambda state: _update_draining(state, entry))
+        self._term.post(lambda state: _update_worker(state, entry))
 
     def _on_unlisted(self, executor: ids.ExecutorId) -> None:
         """Stop placing work on a worker that the store no longer lists."""
@@ -156,7 +156,7 @@
 
 def _add_worker(state: State, entry: workers.ExecutorEntry) -> None:
     lifecycle.add_worker(state, entry.spec)
-    _update_draining(state, entry)
+    _update_worker(state, entry)
 
 
 def _remove_worker(
@@ -172,10 +172,11 @@
     lifecycle.remove_worker(state, worker_id, barred)
 
 
-def _update_draining(state: State, entry: workers.ExecutorEntry) -> None:
+def _update_worker(state: State, entry: workers.ExecutorEntry) -> None:
     worker = state.workers.get(entry.spec.worker)
     if worker is None:
         return
+    resize.apply(state, worker, entry.spec)
     state.is_changed |= worker.is_draining and not entry.is_draining
     if entry.is_draining and not worker.is_draining:
         rollout.record_drain(state, worker)
