Start nothing on a worker whose capacity is no longer known

Seen: in a test, a worker shrank from 8 to 3 accelerators while the store was down. When the store was back it was started 8 tasks on at once, before it could write its next entry.

Cause: an entry counted for as long as it was listed. After an outage of the store it is as old as the outage and up to one interval more, both for a scheduler that survives it and for a new one.

Change: the age of an entry is read from the worker's clock, which stands in the entry and in each answer, so that a new scheduler knows it too. A worker whose entry is older than two intervals and one second gets no starts, nor are starts sent that were decided before, until it writes another; this ends at most one interval after the store is back. Entries without a clock count as before.

--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -124,7 +124,7 @@
         run = (command.key, command.run)
         may_have_started = False
         for _ in range(MAX_START_ATTEMPTS):
-            await self._term.wait_until_trusted()
+            await self._term.wait_until_startable(self._worker)
             payload = self._term.payload_for(command)
             if payload is None:
                 return
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -106,7 +106,8 @@
         if current.entry.is_draining != entry.is_draining or not current.is_listed:
             _log.info("worker_changed", worker=current.worker, is_draining=entry.is_draining)
         current.entry, current.is_listed = entry, True
-        self._term.post(lambda state: _update_worker(state, entry))
+        stated_s = current.stated_s
+        self._term.post(lambda state: _update_worker(state, entry, stated_s))
 
     def _on_unlisted(self, executor: ids.ExecutorId) -> None:
         """Stop placing work on a worker that the store no longer lists."""
@@ -155,8 +156,8 @@
 
 
 def _add_worker(state: State, entry: workers.ExecutorEntry) -> None:
-    lifecycle.add_worker(state, entry.spec)
-    _update_worker(state, entry)
+    worker = lifecycle.add_worker(state, entry.spec)
+    _update_worker(state, entry, worker.stated_s)
 
 
 def _remove_worker(
@@ -172,10 +173,12 @@
     lifecycle.remove_worker(state, worker_id, barred)
 
 
-def _update_worker(state: State, entry: workers.ExecutorEntry) -> None:
+def _update_worker(state: State, entry: workers.ExecutorEntry, stated_s: float) -> None:
     worker = state.workers.get(entry.spec.worker)
     if worker is None:
         return
+    state.is_changed |= not state.is_capacity_known(worker, state.now_s)
+    worker.stated_s = stated_s
     resize.apply(state, worker, entry.spec)
     state.is_changed |= worker.is_draining and not entry.is_draining
     if entry.is_draining and not worker.is_draining:
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -95,6 +95,13 @@
         """Return whether the worker has recently accepted a call of this term."""
         return trio.current_time() - self._answered_s < CONTACT_S
 
+    @property
+    def stated_s(self) -> float:
+        """Return when the worker wrote its entry, infinity while that cannot be told."""
+        if self._clock_ms is None or self.entry.clock_ms is None:
+            return float("inf")
+        return trio.current_time() - (self._worker_clock_ms() - self.entry.clock_ms) / 1000
+
     async def run(self) -> None:
         """Renew the run leases until the incarnation ends or the session is closed."""
         with self._scope:
@@ -269,7 +276,7 @@
         worker = state.workers.get(self.worker)
         if worker is None:
             return
-        worker.heard_s = self._answered_s
+        worker.heard_s, worker.stated_s = self._answered_s, self.stated_s
         state.is_changed |= worker.is_silent
         worker.is_silent = False
         losses.forgive(state, worker)
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -26,6 +26,9 @@
 TICK_S = 0.25
 """Time between two checks for due occurrences; an occurrence starts at most this late."""
 TRUST_POLL_S = 0.1
+MAX_MISSED_BEATS = 2
+ENTRY_DELAY_S = 1.0
+"""Longest time from the write of a worker's entry to its arrival here."""
 PAUSE_FACTOR = 2.0
 """Pause after a scheduling pass as a multiple of its duration, in which events accumulate."""
 
@@ -37,6 +40,7 @@
 
     :param rules: returns the rules in force
     :param max_run_lease_s: longest lease that a worker accepts for its runs
+    :param beat_s: time between two writes of a worker's entry
     :param advice_address: ``IP:PORT`` of the advice service, empty when there is none
     :param machine_client: client of the platform's machine interface, None where there is none
     :param holdoff_s: time from the term's start for which machines get no orders
@@ -50,6 +54,7 @@
         rules: Callable[[], model.Rules],
         *,
         max_run_lease_s: float,
+        beat_s: float,
         advice_address: str = "",
         machine_client: machines.MachineClient | None = None,
         holdoff_s: float = 0.0,
@@ -64,7 +69,8 @@
         self._upkeep = upkeep.Upkeep(store, self, machine_client, holdoff_s=holdoff_s)
         self._intake = intake.Intake(store, self)
         self._journal = journal.Journal(store, leader_lease.epoch)
-        self._state = states.State(rules())
+        max_entry_age_s = MAX_MISSED_BEATS * beat_s + ENTRY_DELAY_S
+        self._state = states.State(rules(), max_entry_age_s=max_entry_age_s)
         self._posts: list[tuple[StateChange, trio.Event]] = []
         self._wake = trio.Event()
         self._first_majority_s: float | None = None
@@ -86,6 +92,15 @@
         while not self.is_trusted:  # noqa: ASYNC110  # depends on the clock alone
             await trio.sleep(TRUST_POLL_S)
 
+    async def wait_until_startable(self, worker_id: ids.WorkerId) -> None:
+        """Wait until starts may be sent to a worker whose capacity is known."""
+        while True:
+            await self.wait_until_trusted()
+            worker = self._state.workers.get(worker_id)
+            if worker is None or self._state.is_capacity_known(worker, trio.current_time()):
+                return
+            await trio.sleep(TRUST_POLL_S)
+
     @property
     def may_renew_run_leases(self) -> bool:
         """Return whether the leases of running tasks may be renewed.
@@ -155,6 +170,8 @@
                     "tasks": len(worker.tasks),
                     "is_ready": worker.is_ready,
                     "is_draining": worker.is_draining,
+                    "is_silent": worker.is_silent,
+                    "is_capacity_known": self._state.is_capacity_known(worker, self._state.now_s),
                     "avoided_s": max(0.0, worker.quarantined_until_s - self._state.now_s),
                 }
                 for name, worker in self._state.workers.items()
--- a/src/bronzequay/core/place.py
+++ b/src/bronzequay/core/place.py
@@ -150,6 +150,7 @@
         for worker in state.workers.values()
         if worker.is_ready
         and not worker.is_silent
+        and state.is_capacity_known(worker, state.now_s)
         and not worker.is_draining
         and not worker.is_held_for_upkeep
         and not worker.stray_runs
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -231,6 +231,7 @@
     :ivar stray_runs: runs on the worker that belong to no task there and were ordered to stop
     :ivar is_ready: its runs are known, so tasks can be placed on it
     :ivar is_silent: its last call went unanswered, so it gets no tasks
+    :ivar stated_s: when it wrote the entry that states its capacity, infinity if unknown
     :ivar joined_s: when it was added
     :ivar heard_s: when its last listing arrived, or when it was added
     :ivar lapsed_tasks: tasks whose runs were given up as its leases lapsed, and whether they were
@@ -252,6 +253,7 @@
         self.stray_runs: set[tuple[model.TaskKey, int]] = set()
         self.is_ready = False
         self.is_silent = False
+        self.stated_s = float("inf")
         self.joined_s = self.heard_s = 0.0
         self.lapsed_tasks: list[tuple[Task, bool]] = []
         self.is_draining = False
@@ -268,6 +270,7 @@
 
     :ivar now_s: the runtime's clock at the current event
     :ivar wall_s: seconds since the Unix epoch at the current event
+    :ivar max_entry_age_s: age of a worker's entry from which its capacity may have changed unseen
     :ivar is_changed: whether another pass could start or stop more than the last one
     :ivar open_steps: steps that are ready and have waiting tasks
     :ivar reservations: room that steps wait for
@@ -285,8 +288,9 @@
     :ivar decisions: log entries in the order of the decisions: event, job, inputs
     """
 
-    def __init__(self, rules: model.Rules) -> None:
+    def __init__(self, rules: model.Rules, *, max_entry_age_s: float = float("inf")) -> None:
         self.rules = rules
+        self.max_entry_age_s = max_entry_age_s
         self.now_s = 0.0
         self.wall_s = 0.0
         self.is_changed = True
@@ -308,6 +312,10 @@
         self.rollouts: dict[ids.ServiceId, rollout.Rollout] = {}
         self.decisions: list[Decision] = []
 
+    def is_capacity_known(self, worker: Worker, now_s: float) -> bool:
+        """Return whether a worker has recently stated its capacity."""
+        return now_s - worker.stated_s <= self.max_entry_age_s
+
     def record_decision(self, event: str, job: ids.JobId | None, **inputs: Any) -> None:
         """Append a decision for the log.
 
--- a/src/bronzequay/fakes/executors.py
+++ b/src/bronzequay/fakes/executors.py
@@ -19,6 +19,7 @@
 STOP_DURATION_S = 0.3
 MAX_LEASE_MS = 10_000
 MAX_LISTED_ENDS = 500
+BEAT_S = 1.5
 RESTART_S = 3.0
 """Time after which an executor that a task has crashed is back."""
 
@@ -65,6 +66,7 @@
             await trio.sleep(0.02)
             for executor in list(self.executors.values()):
                 executor.advance()
+                executor.beat()
             self._restart_crashed()
 
     def crash(self, executor: Executor) -> None:
@@ -95,6 +97,7 @@
     :ivar starts_to_refuse: number of starts to refuse with 503; counts down
     :ivar is_stalled: whether no run completes
     :ivar fails_all_runs: whether every run that completes is reported as failed
+    :ivar beats: whether it writes its entry, with its clock, every ``BEAT_S`` and not on changes
     :ivar keeps_id: whether it restarts under its id after a task has crashed it
     :ivar barred_runs: highest run number by task that may no longer start
     :ivar void_ends: numbers of ends that were unacknowledged when the lease lapsed
@@ -127,6 +130,8 @@
         self.state = "ready"
         self.is_stalled = False
         self.fails_all_runs = False
+        self.beats = False
+        self.next_beat_s = 0.0
         self.keeps_id = False
         self.born_ms = 0
         self.boot()
@@ -159,6 +164,14 @@
         """Write the executor's entry to the store."""
         self.world.store.put(f"servers/{self.name}", self.entry(born_ms=self.born_ms))
 
+    def beat(self) -> None:
+        """Write the entry if that is due and the store answers."""
+        if not self.beats or not self.is_up or trio.current_time() < self.next_beat_s:
+            return
+        self.next_beat_s = trio.current_time() + BEAT_S
+        if not self.world.store.faults.silent:
+            self.list_entry()
+
     def entry(self, *, born_ms: int) -> bytes:
         """Return the encoded entry of an incarnation."""
         entry = {
@@ -170,6 +183,7 @@
             "labels": self.labels,
             "born": born_ms,
             "machine": self.machine,
+            **({"clockMs": int(self.clock_ms)} if self.beats else {}),
         }
         return msgspec.json.encode(entry)
 
--- a/src/bronzequay/platform/workers.py
+++ b/src/bronzequay/platform/workers.py
@@ -30,6 +30,7 @@
     :param address: ``IP:PORT``
     :param is_draining: whether it accepts no new tasks and is about to leave
     :param remaining_s: shortest time until a draining executor leaves, None when not stated
+    :param clock_ms: the executor's clock when it wrote the entry, None when not stated
     """
 
     executor: ids.ExecutorId
@@ -37,6 +38,7 @@
     spec: model.WorkerSpec
     is_draining: bool
     remaining_s: float | None
+    clock_ms: float | None
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
@@ -54,6 +56,7 @@
     born: int = 0
     machine: str = ""
     remaining_ms: float | None = None
+    clock_ms: float | None = None
 
 
 class Outcome(enum.Enum):
@@ -192,7 +195,8 @@
         started_s=wire.born / 1000,
     )
     remaining_s = None if wire.remaining_ms is None else wire.remaining_ms / 1000
-    return ExecutorEntry(executor, wire.addr, spec, wire.state == "draining", remaining_s)
+    is_draining = wire.state == "draining"
+    return ExecutorEntry(executor, wire.addr, spec, is_draining, remaining_s, wire.clock_ms)
 
 
 def task_name(key: model.TaskKey) -> str:
--- a/tests/control/site.py
+++ b/tests/control/site.py
@@ -149,6 +149,7 @@
                             leader_lease,
                             lambda: configuration.rules,
                             max_run_lease_s=10.0,
+                            beat_s=1.5,
                             advice_address=self.advice_address,
                             machine_client=self._machine_client(name, leader_lease.epoch),
                             holdoff_s=DUTY_LEASE_S,
--- a/tests/control/test_resize.py
+++ b/tests/control/test_resize.py
@@ -94,3 +94,23 @@
     resize(executor, 5)
     await trio.sleep(NOTICE_S)
     assert len(executor.runs) == 5
+
+
+async def test_nothing_starts_after_an_outage_of_the_store_until_capacity_is_known_again(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against starts that exceed a capacity which has shrunk while the store was down."""
+    executor = site.add_executor(0)
+    executor.beats = True
+    site.start_scheduler("a")
+    await site.wait_for(submit(site, 8, 1.0), "completed")
+    jobs = [submit(site, 8, run_s) for run_s in (4.0, 2.0)]
+    await site.wait_until(lambda: len(executor.runs) == 8)
+    site.kv.faults.silent = True
+    executor.capacity = {**executor.capacity, "gpu": 3}
+    await trio.sleep(6.0)
+    assert not executor.runs
+    site.kv.faults.silent = False
+    assert await largest_count(executor, 7.0) == 3
+    for job in jobs:
+        await site.wait_for(job, "completed", timeout_s=8.0)
--- a/tests/control/test_term.py
+++ b/tests/control/test_term.py
@@ -418,5 +418,5 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(lease.renew_until_lost, store, leader_lease)
         await term.Term(
-            store, leader_lease, lambda: configuration.rules, max_run_lease_s=10.0
+            store, leader_lease, lambda: configuration.rules, max_run_lease_s=10.0, beat_s=1.5
         ).run()
