--- a/tests/control/test_crash.py
+++ b/tests/control/test_crash.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 
+from bronzequay import figures
 from bronzequay.core import model
 from bronzequay.fakes import tasks
 from tests.control.site import ONE_GPU, STORE, gang
@@ -215,3 +216,23 @@
     state = site.terms["a"]._state
     again = [task for job in jobs for task in next(state.jobs[job].steps()).tasks if task.run > 1]
     assert [task.crashes for task in again] == [0] * 4
+
+
+async def test_a_worker_that_is_gone_for_good_is_counted_as_lost_once(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against a metric that counts a worker when its leases lapse and when it is removed."""
+    executor = site.add_executor(0)
+    site.start_scheduler("a")
+    job = site.submit(plan=tasks.Plan(run_s=60.0))
+    await site.wait_for(job, "running")
+    await trio.sleep(1.0)
+    counted = figures.counters.copy()
+    site.crash(executor)
+    await site.wait_until(lambda: not site.terms["a"]._state.workers)
+    lost = {
+        name: count - counted[name]
+        for name, count in figures.counters.items()
+        if name.startswith(("workers_lost", "runs_lost")) and count != counted[name]
+    }
+    assert lost == {'workers_lost{why="lapsed"}': 1, 'runs_lost{why="lapsed"}': 1}
