Workers that fall silent in a drain or an upkeep have not crashed

Seen: in tests, a task counted a crash when its worker left after a drain without a trace, when the upkeep of its machine took longer than the run leases, and when the upkeep was ordered by an earlier term.

Cause: planned losses were told apart only where another incarnation answered in the worker's place. A worker whose leases lapsed, or that a new term never reached, counted as crashed.

Change: an upkeep is looked up for each kind of loss, and leases that lapse while the worker drains count as its departure.

--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -169,8 +169,7 @@
     worker = state.workers.get(worker_id)
     # The session has recorded the loss of a worker whose leases lapsed.
     if worker is not None and loss is not losses.Loss.LAPSED:
-        is_in_upkeep = any(worker_id in wave.ordered.values() for wave in state.waves.values())
-        losses.record(state, worker, losses.Loss.UPKEEP if is_in_upkeep else loss)
+        losses.record(state, worker, loss)
     lifecycle.remove_worker(state, worker_id, barred)
 
 
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -234,7 +234,8 @@
     def _end_lapsed_runs(self, state: State) -> None:
         worker = state.workers.get(self.worker)
         if worker is not None:
-            losses.record(state, worker, losses.Loss.LAPSED)
+            loss = losses.Loss.LEFT if self.entry.is_draining else losses.Loss.LAPSED
+            losses.record(state, worker, loss)
         lifecycle.end_lost_runs(state, self.worker)
 
     def _end(self) -> bool:
--- a/src/bronzequay/core/losses.py
+++ b/src/bronzequay/core/losses.py
@@ -74,6 +74,8 @@
     A task under which too many workers have crashed is given up with its job. A worker whose leases
     have lapsed may only be unreachable: ``forgive`` takes its crashes back.
     """
+    if _is_in_upkeep(state, worker.spec.worker):
+        loss = Loss.UPKEEP
     mates = _rack_mates(state, worker)
     silent_mates = [mate for mate in mates if _fell_silent_together(state, worker, mate)]
     tasks = list(worker.tasks.values())
@@ -100,7 +102,10 @@
 
 def record_absent(state: State, worker: ids.WorkerId, tasks: Sequence[Task]) -> None:
     """Record the loss of a worker that has not joined in this term, before its runs are ended."""
-    _log_loss(state, tasks, worker=worker, why=Loss.ABSENT.value)
+    loss = Loss.UPKEEP if _is_in_upkeep(state, worker) else Loss.ABSENT
+    _log_loss(state, tasks, worker=worker, why=loss.value)
+    if loss is Loss.UPKEEP:
+        return
     for task in tasks:
         task.crashes += 1
     _give_up(state, worker, tasks, is_certain=False)
@@ -172,6 +177,10 @@
         lifecycle.end_job(state, step.job, model.JobState.FAILED, reason)
 
 
+def _is_in_upkeep(state: State, worker: ids.WorkerId) -> bool:
+    return any(worker in wave.ordered.values() for wave in state.waves.values())
+
+
 def _was_starting(task: Task) -> bool:
     """Return whether a task of this term had not run for long when its worker fell silent."""
     is_of_this_term = task.is_confirmed or task.phase is not model.Phase.RUNNING
--- a/tests/control/test_crash.py
+++ b/tests/control/test_crash.py
@@ -236,3 +236,21 @@
         if name.startswith(("workers_lost", "runs_lost")) and count != counted[name]
     }
     assert lost == {'workers_lost{why="lapsed"}': 1, 'runs_lost{why="lapsed"}': 1}
+
+
+async def test_a_worker_that_falls_silent_after_its_drain_has_not_crashed(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against tasks that are suspected because their worker left without a trace."""
+    leaving = site.add_executor(0)
+    site.start_scheduler("a")
+    job = site.submit(plan=tasks.Plan(run_s=60.0))
+    await site.wait_for(job, "running")
+    await trio.sleep(1.0)
+    leaving.state = "draining"
+    leaving.list_entry()
+    await trio.sleep(0.6)
+    leaving.crash()
+    await trio.sleep(8.0)
+    (step,) = site.terms["a"]._state.jobs[job].steps()
+    assert (step.tasks[0].phase, step.tasks[0].crashes) == (model.Phase.WAITING, 0)
--- a/tests/core/test_losses.py
+++ b/tests/core/test_losses.py
@@ -7,7 +7,7 @@
 import pytest
 
 from bronzequay import ids
-from bronzequay.core import health, lifecycle, losses, model, records
+from bronzequay.core import health, lifecycle, losses, model, records, upkeep
 from bronzequay.core import state as states
 from tests.core import world
 from tests.core.test_schedule import build_state, confirm_starts, run_pass, starts
@@ -252,6 +252,21 @@
     assert task_of(state, 1).crashes == 0
 
 
+@pytest.mark.parametrize("is_inherited", [False, True])
+def test_a_worker_in_upkeep_that_is_silent_for_long_has_not_crashed(is_inherited: bool) -> None:
+    """Guards against tasks that are suspected because the upkeep of their machine takes long."""
+    state = build_state(2)
+    accept(state, 1)
+    (name,) = start_all(state, 0.0)
+    machine = state.workers[ids.WorkerId(name)].spec.machine
+    state.waves[1] = upkeep.Wave(1, (machine,), 1, 60.0, ordered={machine: ids.WorkerId(name)})
+    if is_inherited:
+        losses.record_absent(state, ids.WorkerId(name), [task_of(state, 1)])
+    else:
+        crash(state, name, 6.0, losses.Loss.LAPSED)
+    assert task_of(state, 1).crashes == 0
+
+
 def test_crashes_of_a_worker_that_was_only_unreachable_are_taken_back() -> None:
     """Guards against a task that is given up because its workers were silent."""
     state = build_state(2)
