--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -30,6 +30,9 @@
     regressions: Annotated[bool, cappa.Arg(long=True, help="run the regression seeds instead")] = (
         False
     )
+    hazards: Annotated[
+        bool, cappa.Arg(long=True, help="tasks also crash their workers, and workers shrink")
+    ] = False
     json: Annotated[bool, cappa.Arg(long=True, help="print JSON")] = False
 
 
@@ -52,7 +55,11 @@
 
 async def _run(seed: int, seconds: float, options: Soak) -> run.Figures:
     return await run.run(
-        seed=seed, seconds=seconds, entries=options.entries, workers=options.workers
+        seed=seed,
+        seconds=seconds,
+        entries=options.entries,
+        workers=options.workers,
+        has_hazards=options.hazards,
     )
 
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -29,6 +29,9 @@
 GANG_SHARE = 0.5
 CHECKPOINT_SHARE = 0.4
 CANCEL_SHARE = 0.1
+CRASH_SHARE = 0.06
+MAX_CRASHING_STARTS = 5
+"""Starts of a task that crashes its workers: three, and two more after the third crash."""
 CANCEL_SHARE_PER_POLL = 0.4
 FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
 
@@ -64,13 +67,17 @@
 
     :param site: harness whose instances are called
     :param seed: seed of the draws of jobs and instances
+    :param has_hazards: whether some jobs crash the workers that start them
     :ivar breaches: descriptions of the breaches
     :ivar answers: number of answers by status, ``none`` if a call was not answered
     """
 
-    def __init__(self, site: Harness, seed: int) -> None:
+    def __init__(self, site: Harness, seed: int, *, has_hazards: bool = False) -> None:
         self._site = site
         self._rng = random.Random(seed)
+        self._crash_rng = random.Random(f"crashes {seed}")
+        self._crash_share = CRASH_SHARE if has_hazards else 0.0
+        self.crashing_jobs: set[str] = set()
         self._clients = {
             instance.name: client.Client(f"127.0.0.1:{instance.callers.port}")
             for instance in site.instances
@@ -104,6 +111,7 @@
             fails=rng.choice([0, 0, 0, 0, 1]),
             saves=saves,
             gpu=gpu,
+            crashes_after_s=0.0 if self._crash_rng.random() < self._crash_share else None,
         )
         step = {
             "count": count,
@@ -118,6 +126,8 @@
         name = f"{rng.getrandbits(64):016x}"
         job = Job(name, f"/q{rng.randrange(3)}/", json.dumps(body).encode(), count)
         self.jobs[name] = job
+        if plan.crashes_after_s is not None:
+            self.crashing_jobs.add(name)
         return job
 
     async def run_job(self, job: Job) -> None:
@@ -250,8 +260,14 @@
             return None, b""
         return resp.status, resp.body
 
+    def _check_crashing_tasks(self) -> None:
+        for task, count in self._site.run_checker.start_counts.items():
+            if count > MAX_CRASHING_STARTS and task.partition(".")[0] in self.crashing_jobs:
+                self.breaches.append(f"{task} crashes its workers and was started {count} times")
+
     def check(self) -> list[str]:
         """Check what must hold at any time; return all breaches so far."""
+        self._check_crashing_tasks()
         for job in self.jobs.values():
             if (
                 job.submit_result is SubmitResult.REJECTED
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -36,6 +36,7 @@
     ORDERS_LOST = "orders_lost"
     ORDERS_LATE = "orders_late"
     CONFIGURATION = "configuration"
+    WORKER_SHRINKS = "worker_shrinks"
 
 
 class Target(enum.Enum):
@@ -56,6 +57,8 @@
     Kind.WORKER_REBORN: 2,
 }
 """Relative frequency of the kinds; 1 for kinds not listed."""
+HAZARDS = frozenset({Kind.WORKER_SHRINKS})
+"""Kinds that are drawn apart, so that earlier seeds keep their plans."""
 REPEAT_SHARE = 0.25
 """Share of faults that repeat the kind of the fault before."""
 
@@ -82,7 +85,7 @@
     :param per_s: mean number of faults per second
     """
     rng = random.Random(seed)
-    kinds = list(Kind)
+    kinds = [kind for kind in Kind if kind not in HAZARDS]
     weights = [WEIGHTS.get(kind, 1.0) for kind in kinds]
     faults: list[Fault] = []
     at_s = 0.0
@@ -96,3 +99,21 @@
         duration_s = rng.uniform(0.3, 5.0)
         selector = rng.randrange(1_000_000)
         faults.append(Fault(at_s, kind, duration_s, selector, rng.choice(list(Target))))
+
+
+def draw_hazards(seed: int, seconds: float, *, per_s: float) -> list[Fault]:
+    """Draw the faults of the kinds in ``HAZARDS``, ordered by time.
+
+    :param seconds: length of the fault phase, in seconds
+    :param per_s: mean number of faults per second
+    """
+    rng = random.Random(f"hazards {seed}")
+    kinds = sorted(HAZARDS, key=lambda kind: kind.value)
+    faults: list[Fault] = []
+    at_s = rng.expovariate(per_s)
+    while at_s <= seconds:
+        duration_s = rng.uniform(2.0, 10.0)
+        selector = rng.randrange(1_000_000)
+        faults.append(Fault(at_s, rng.choice(kinds), duration_s, selector, Target.WORKER))
+        at_s += rng.expovariate(per_s)
+    return faults
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,6 +17,7 @@
 START_TIMEOUT_S = 15.0
 """Longest time until an entry instance serves after a cold start on a loaded machine."""
 FAULTS_PER_S = 0.7
+HAZARDS_PER_S = 0.25
 JOBS_PER_S = 2.5
 CHECK_INTERVAL_S = 0.25
 RECOVERY_TIMEOUT_S = 12.0
@@ -48,19 +49,35 @@
 
 
 async def run(
-    *, seed: int, seconds: float, entries: int, workers: int, folder: pathlib.Path | None = None
+    *,
+    seed: int,
+    seconds: float,
+    entries: int,
+    workers: int,
+    folder: pathlib.Path | None = None,
+    has_hazards: bool = False,
 ) -> Figures:
     """Run one seed.
 
     :param seconds: length of the fault phase, in seconds
     :param folder: folder for the logs of the instances; without one, a temporary one is left behind
+    :param has_hazards: whether tasks also crash their workers and workers shrink while they run
     """
     folder = folder or pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     async with trio.open_nursery() as nursery:
-        site = harness.Harness(nursery, seed=seed, entries=entries, workers=workers, folder=folder)
+        site = harness.Harness(
+            nursery,
+            seed=seed,
+            entries=entries,
+            workers=workers,
+            folder=folder,
+            has_hazards=has_hazards,
+        )
         try:
             await site.start()
-            figures = await _run_phases(nursery, site, seed=seed, seconds=seconds)
+            figures = await _run_phases(
+                nursery, site, seed=seed, seconds=seconds, has_hazards=has_hazards
+            )
         finally:
             site.stop()
         nursery.cancel_scope.cancel()
@@ -68,9 +85,14 @@
 
 
 async def _run_phases(
-    nursery: trio.Nursery, site: harness.Harness, *, seed: int, seconds: float
+    nursery: trio.Nursery,
+    site: harness.Harness,
+    *,
+    seed: int,
+    seconds: float,
+    has_hazards: bool,
 ) -> Figures:
-    traffic = callers.Callers(site, seed)
+    traffic = callers.Callers(site, seed, has_hazards=has_hazards)
     checker = _Checker(site, traffic)
     nursery.start_soon(checker.run)
     first_job = traffic.draw_job()
@@ -80,7 +102,10 @@
     nursery.start_soon(traffic.probe_configuration)
     async with trio.open_nursery() as fault_nursery:
         started_s = trio.current_time()
-        for fault in plan.draw_faults(seed, seconds, per_s=FAULTS_PER_S):
+        faults = plan.draw_faults(seed, seconds, per_s=FAULTS_PER_S)
+        if has_hazards:
+            faults += plan.draw_hazards(seed, seconds, per_s=HAZARDS_PER_S)
+        for fault in sorted(faults, key=lambda fault: fault.at_s):
             await trio.sleep_until(started_s + fault.at_s)
             fault_nursery.start_soon(site.inject, fault)
     ended_s = trio.current_time()
@@ -126,7 +151,7 @@
     def __init__(self, site: harness.Harness, traffic: callers.Callers) -> None:
         self._site = site
         self._traffic = traffic
-        self._capacity_breaches: list[str] = []
+        self._room_checker = invariants.RoomChecker(site.world)
         self.checks = 0
 
     async def run(self) -> None:
@@ -138,7 +163,7 @@
         self.checks += 1
         self._site.run_checker.check()
         self._traffic.check()
-        self._capacity_breaches += invariants.over_capacity(self._site.world)
+        self._room_checker.check(trio.current_time())
 
     def all_breaches(self) -> list[str]:
         """Return all breaches without duplicates."""
@@ -147,7 +172,7 @@
                 [
                     *self._site.run_checker.breaches,
                     *self._traffic.breaches,
-                    *self._capacity_breaches,
+                    *self._room_checker.breaches,
                 ]
             )
         )
--- a/src/bronzequay/fakes/executors.py
+++ b/src/bronzequay/fakes/executors.py
@@ -79,6 +79,8 @@
         due = [executor for due_s, executor in self._restarts if due_s <= now_s]
         self._restarts = [restart for restart in self._restarts if restart[0] > now_s]
         for executor in due:
+            if executor.is_up:
+                continue
             del self.executors[executor.name]
             executor.boot()
             if not executor.keeps_id:
