--- a/soak/harness.py
+++ b/soak/harness.py
@@ -24,6 +24,7 @@
 FIRST_PORT = 20_000
 LAST_PORT = 32_000
 DRAIN_DURATION_S = 2.5
+WORKER_GPUS = 8
 QUEUE_COUNT = 3
 CONFIGURATION_LIFE = 3
 ROUTES = [
@@ -126,7 +127,7 @@
         port, executor_port = next(self._ports), next(self._ports)
         self._worker_links[name] = links.Link(port, lambda: executor_port)
         self._nursery.start_soon(self._worker_links[name].run)
-        executor = self.world.add(name, f"127.0.0.1:{port}", rack=rack)
+        executor = self.world.add(name, f"127.0.0.1:{port}", rack=rack, gpu=WORKER_GPUS)
         executor.keeps_id = executor.beats = self._has_hazards
         executor.spawn = self._nursery.start_soon
         await self._nursery.start(self._serve_worker, executor, executor_port)
@@ -254,10 +255,9 @@
         """Take accelerators from a worker that runs on, and give them back."""
         names = sorted(self.world.executors)
         executor = self.world.executors[names[fault.selector % len(names)]]
-        full = executor.capacity
-        executor.capacity = {**full, "gpu": fault.selector % full["gpu"]}
+        executor.capacity = {**executor.capacity, "gpu": fault.selector % WORKER_GPUS}
         await trio.sleep(fault.duration_s)
-        executor.capacity = full
+        executor.capacity = {**executor.capacity, "gpu": WORKER_GPUS}
 
     def _crash(self, executor: executors.Executor) -> None:
         executor.crash()
