Rank the steps of a job in linear time

Looked for beside the tasks that crash their workers: what else can bring down one process after another. A job of thousands of steps could: a pass over 10,000 steps did not end within 10 minutes. The leader lease is lost after 2 s, and each next scheduler takes up the same job.

Cause: the rank of a step searched all paths through its job, for each of its steps and in each pass.

Change: the paths are found once a job.

--- a/src/bronzequay/core/order.py
+++ b/src/bronzequay/core/order.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -35,6 +35,17 @@
     HOPELESS = 5
 
 
+class Paths(NamedTuple):
+    """Longest paths through the steps of a job, in seconds of estimated run time.
+
+    :param critical_s: path through all steps
+    :param remaining_s: by step, path from its start to the end of the occurrence
+    """
+
+    critical_s: float
+    remaining_s: list[float]
+
+
 def guaranteed_jobs(state: State) -> set[ids.JobId]:
     """Return the urgent jobs of organisations whose urgent jobs together fit their guarantee.
 
@@ -80,8 +91,9 @@
     """
     job = step.job
     begin_s = max(job.spec.accepted_s, job.due_s(step.occurrence))
-    objective_s = queue.stretch * critical_path_s(job.spec.steps) + queue.latency_s
-    remaining_s = _remaining_path_s(step)
+    paths = job.paths or _find_paths(job)
+    objective_s = queue.stretch * paths.critical_s + queue.latency_s
+    remaining_s = paths.remaining_s[step.number]
     waited_s = state.wall_s - begin_s
     return (
         objective_s - remaining_s - waited_s,
@@ -89,15 +101,16 @@
     )
 
 
-def _remaining_path_s(step: StepRun) -> float:
-    """Return the estimated time from the start of a step to the end of its occurrence."""
-    steps = step.job.spec.steps
+def _find_paths(job: Job) -> Paths:
+    """Find a job's paths once, since a search for each of its steps takes quadratic time."""
+    steps = job.spec.steps
     paths_s = [0.0] * len(steps)
     for number in range(len(steps) - 1, -1, -1):
         paths_s[number] += steps[number].estimate_s
         for earlier in steps[number].after:
             paths_s[earlier] = max(paths_s[earlier], paths_s[number])
-    return paths_s[step.number]
+    job.paths = Paths(critical_path_s(steps), paths_s)
+    return job.paths
 
 
 def rank(state: State, step: StepRun, guaranteed: set[ids.JobId]) -> Rank:
@@ -121,6 +134,7 @@
 
 
 __all__ = [
+    "Paths",
     "Rank",
     "Tier",
     "critical_path_s",
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -10,7 +10,7 @@
     from collections.abc import Iterator
 
     from bronzequay import ids
-    from bronzequay.core import losses, reserve, rollout, upkeep
+    from bronzequay.core import losses, order, reserve, rollout, upkeep
 
     Decision = tuple[str, ids.JobId | None, dict[str, Any]]
 
@@ -184,6 +184,7 @@
     :ivar has_begun: whether any task was ever started
     :ivar begun_s: when the first task was started, in seconds since the Unix epoch
     :ivar reason: explanation of a failure or cancellation
+    :ivar paths: longest paths through the steps, None before they are needed
     """
 
     def __init__(self, spec: model.JobSpec) -> None:
@@ -194,6 +195,7 @@
         self.has_begun = False
         self.begun_s = 0.0
         self.reason = ""
+        self.paths: order.Paths | None = None
 
     @property
     def occurrence_count(self) -> int:
--- a/tests/core/test_lifecycle.py
+++ b/tests/core/test_lifecycle.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 
 from bronzequay import ids
+from bronzequay.control import lease
 from bronzequay.core import lifecycle, model, records
 from bronzequay.core import state as states
 from tests.core import world
@@ -229,3 +232,12 @@
     assert run_pass(state, 1.0) == []
     finish(state, start, model.End.LOST)
     assert starts(run_pass(state, 2.0))[0].run == 2
+
+
+def test_a_pass_over_thousands_of_steps_of_one_job_takes_linear_time() -> None:
+    """Guards against a job of many steps, which ends the term of one scheduler after another."""
+    state = build_state(4)
+    lifecycle.accept(state, world.job(1, *[world.step(1) for _ in range(5000)]))
+    began_s = time.process_time()
+    run_pass(state, 0.0)
+    assert time.process_time() - began_s < lease.TTL_S
