Reject jobs that cannot be kept, and open overdue times one after the other

A job whose 10,000 times were all overdue took over 5 s in one pass; one of 10^9 times would have exhausted the memory of each scheduler in turn. Amounts above 64 bits passed the checks and failed when the job was stored.

Cause: the limit on tasks held for one time of a job, all due times were created at once, and amounts had no upper limit.

Change: the tasks over all times are limited, due times are opened as long as the open ones stay within the limit of one time, and amounts and times have bounds. `core.occurrences` holds what creates and opens occurrences.

--- a/src/bronzequay/core/lifecycle.py
+++ b/src/bronzequay/core/lifecycle.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from bronzequay.core import health, model
+from bronzequay.core import health, model, occurrences
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
@@ -36,34 +36,7 @@
         tasks=[step.count for step in spec.steps],
         estimates_s=[round(step.estimate_s, 2) for step in spec.steps],
     )
-    open_due_occurrences(state, job)
-
-
-def open_due_occurrences(state: State, job: Job) -> None:
-    """Create the occurrences of a job that are due and open their ready steps."""
-    while (
-        job.next_occurrence < job.occurrence_count
-        and job.due_s(job.next_occurrence) <= state.wall_s
-    ):
-        number = job.next_occurrence
-        job.next_occurrence += 1
-        job.occurrences[number] = states.Occurrence(job, number)
-        open_ready_steps(state, job.occurrences[number])
-
-
-def open_ready_steps(state: State, occurrence: states.Occurrence) -> None:
-    """Open the unfinished steps whose earlier steps are all done."""
-    for step in occurrence.steps:
-        earlier = (occurrence.steps[number] for number in step.spec.after)
-        if not step.is_done and all(other.is_done for other in earlier):
-            if step.ready_s is None:
-                step.ready_s = state.now_s
-            _open_step(state, step)
-
-
-def _open_step(state: State, step: StepRun) -> None:
-    state.open_steps[step.key] = step
-    state.is_changed = True
+    occurrences.open_due(state, job)
 
 
 def cancel(state: State, job_id: ids.JobId) -> None:
@@ -255,7 +228,7 @@
         for other in step.placed_tasks:
             stop(state, other)
     if not step.job.is_final:
-        _open_step(state, step)
+        occurrences.open_step(state, step)
 
 
 def _count_failure(state: State, step: StepRun, task: Task, worker: ids.WorkerId) -> None:
@@ -284,7 +257,7 @@
     if job.is_final:
         return
     if not occurrence.is_done:
-        open_ready_steps(state, occurrence)
+        occurrences.open_ready_steps(state, occurrence)
     elif _is_complete(job):
         end_job(state, job, model.JobState.COMPLETED)
 
@@ -389,7 +362,6 @@
     "end_lost_runs",
     "end_run",
     "may_stop_another",
-    "open_due_occurrences",
     "remove_worker",
     "retire",
     "start",
--- a/src/bronzequay/core/model.py
+++ b/src/bronzequay/core/model.py
@@ -11,6 +11,8 @@
 
 MAX_TASKS_PER_JOB = 10_000
 """Limit over all steps of a job; its progress record must fit one store value of 1 MB."""
+MAX_TASKS_OVER_TIMES = 50_000
+"""Limit over all times that a job's steps run; the record keeps every step that is done."""
 
 
 class Resources(msgspec.Struct, frozen=True, array_like=True):
--- a/src/bronzequay/core/records.py
+++ b/src/bronzequay/core/records.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from bronzequay import ids
-from bronzequay.core import lifecycle, model
+from bronzequay.core import lifecycle, model, occurrences
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
@@ -130,8 +130,8 @@
         lifecycle.retire(state, job)
         return
     for occurrence in job.occurrences.values():
-        lifecycle.open_ready_steps(state, occurrence)
-    lifecycle.open_due_occurrences(state, job)
+        occurrences.open_ready_steps(state, occurrence)
+    occurrences.open_due(state, job)
 
 
 def _restore_step(state: State, step: StepRun, record: StepRecord, job: JobRecord) -> None:
--- a/src/bronzequay/core/schedule.py
+++ b/src/bronzequay/core/schedule.py
@@ -4,7 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-from bronzequay.core import advice, isolate, lifecycle, order, place, preempt, reserve, upkeep
+from bronzequay.core import (
+    advice,
+    isolate,
+    lifecycle,
+    occurrences,
+    order,
+    place,
+    preempt,
+    reserve,
+    upkeep,
+)
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
@@ -72,7 +82,7 @@
 def _open_due_occurrences(state: State) -> None:
     for job in list(state.jobs.values()):
         if job.next_occurrence < job.occurrence_count and not job.is_final:
-            lifecycle.open_due_occurrences(state, job)
+            occurrences.open_due(state, job)
 
 
 def _may_keep_reservation(
--- a/src/bronzequay/platform/ingress.py
+++ b/src/bronzequay/platform/ingress.py
@@ -9,6 +9,8 @@
 from bronzequay import codes, errors, ids
 from bronzequay.core import model
 
+MAX_NUMBER = 2**53
+"""Largest amount or time in milliseconds, the limit up to which JSON numbers are exact."""
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 
 
@@ -126,20 +128,32 @@
 def _validate(wire: _Job) -> None:
     if not wire.steps:
         raise _out_of_range("must not be empty", "steps")
-    if wire.times < 0:
-        raise _out_of_range("must not be negative", "times")
-    if sum(step.count for step in wire.steps) > model.MAX_TASKS_PER_JOB:
+    _check_numbers("times", wire.times)
+    _check_numbers("initialDelayMs", wire.initial_delay_ms)
+    _check_numbers("intervalMs", wire.interval_ms)
+    task_count = sum(step.count for step in wire.steps)
+    if task_count > model.MAX_TASKS_PER_JOB:
         raise _out_of_range(f"must have at most {model.MAX_TASKS_PER_JOB} tasks", "steps")
+    if task_count * wire.times > model.MAX_TASKS_OVER_TIMES:
+        message = f"must have at most {model.MAX_TASKS_OVER_TIMES} tasks over all times"
+        raise _out_of_range(message, "times")
     for number, step in enumerate(wire.steps):
         step_field = f"steps[{number}]"
         if step.count < 1:
             raise _out_of_range("must be 1 or more", f"{step_field}.count")
-        if min(step.cpu, step.mem_mb, step.gpu, step.estimate_ms, step.anti_affinity) < 0:
-            raise _out_of_range("must not be negative", step_field)
+        amounts = (step.cpu, step.mem_mb, step.gpu, step.anti_affinity, step.may_miss)
+        _check_numbers(step_field, *amounts, step.estimate_ms, step.target_ms)
         if any(not 0 <= earlier < number for earlier in step.after):
             raise _out_of_range("must refer to earlier steps", f"{step_field}.after")
 
 
+def _check_numbers(field: str, *numbers: float) -> None:
+    if min(numbers) < 0:
+        raise _out_of_range("must not be negative", field)
+    if max(numbers) > MAX_NUMBER:
+        raise _out_of_range(f"must not exceed {MAX_NUMBER}", field)
+
+
 def _out_of_range(message: str, field: str) -> errors.BronzequayError:
     return errors.BronzequayError(codes.ResultCode.VALUE_OUT_OF_RANGE, message, field=field)
 
--- a/tests/core/test_lifecycle.py
+++ b/tests/core/test_lifecycle.py
@@ -4,6 +4,7 @@
 
 import time
 
+import msgspec
 import pytest
 
 from bronzequay import ids
@@ -234,6 +235,23 @@
     assert starts(run_pass(state, 2.0))[0].run == 2
 
 
+def test_overdue_occurrences_open_as_those_before_them_end() -> None:
+    """Guards against a job with many overdue times, which holds up one scheduler after another."""
+    state = build_state(1)
+    spec = msgspec.structs.replace(
+        world.job(1, world.step(model.MAX_TASKS_PER_JOB // 2)), times=3, interval_s=1.0
+    )
+    state.wall_s = 1e9
+    lifecycle.accept(state, spec)
+    job = state.jobs[spec.job]
+    assert sorted(job.occurrences) == [0, 1]
+    for task in job.occurrences[0].steps[0].tasks:
+        task.phase = model.Phase.DONE
+    job.occurrences[0].steps[0].is_done = True
+    run_pass(state, 5.0)
+    assert sorted(job.occurrences) == [0, 1, 2]
+
+
 def test_a_pass_over_thousands_of_steps_of_one_job_takes_linear_time() -> None:
     """Guards against a job of many steps, which ends the term of one scheduler after another."""
     state = build_state(4)
