Soak: calls that the proxy itself refused are not blamed on a shutdown

Cause: the check is wrong here. The calls never reached it: its log has none between SIGTERM and its exit after half a second without one. A link that fails to connect is taken into account, one that refuses was not.

Change: a refusal is recorded like a failed connection. The check is as strict as before for every call that the link let through.

--- a/soak/links.py
+++ b/soak/links.py
@@ -46,7 +46,7 @@
     :ivar delay_s: delay of each chunk of data, in seconds
     :ivar cut: directions in which data is held back until ``heal`` is called
     :ivar is_refusing: whether new connections are reset
-    :ivar unreachable_s: time at which connecting to the target last failed
+    :ivar unreachable_s: time at which a connection to the target was last refused or failed
     """
 
     def __init__(self, port: int, target: Callable[[], int]) -> None:
@@ -93,6 +93,7 @@
         conn = _Connection(client_sock, target_sock)
         try:
             if self.is_refusing:
+                self.unreachable_s = trio.current_time()
                 conn.reset()
                 return
             await self._wait_until_uncut("up")
