Soak: no gang is drawn that the fleet cannot hold

Cause: the draw could ask for a gang of 5 tasks with 8 accelerators each, and the 4 workers of the short run have 32. No scheduler can start it.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,9 +13,9 @@
 
 from bronzequay.fakes import tasks
 from bronzequay.net import client
+from soak import harness
 
 if TYPE_CHECKING:
-    from soak.harness import Harness
     from soak.instances import Instance
 
 SUBMIT_ATTEMPTS = 4
@@ -72,7 +72,7 @@
     :ivar answers: number of answers by status, ``none`` if a call was not answered
     """
 
-    def __init__(self, site: Harness, seed: int, *, has_hazards: bool = False) -> None:
+    def __init__(self, site: harness.Harness, seed: int, *, has_hazards: bool = False) -> None:
         self._site = site
         self._rng = random.Random(seed)
         self._crash_rng = random.Random(f"crashes {seed}")
@@ -107,6 +107,9 @@
         gpu = rng.choice([1, 1, 2, 4, 8])
         run_s = rng.choice([0.2, 0.6, 1.5, 4.0])
         is_gang = rng.random() < GANG_SHARE
+        if is_gang:
+            # A gang that the fleet cannot hold would wait for ever.
+            count = min(count, self._site.worker_count * (harness.WORKER_GPUS // gpu))
         saves = rng.random() < CHECKPOINT_SHARE
         plan = tasks.Plan(
             run_s=run_s,
--- a/soak/harness.py
+++ b/soak/harness.py
@@ -71,6 +71,7 @@
     :param folder: folder of the logs and settings files
     :param has_hazards: whether workers write their entries at intervals, as on the platform, and
         restart under their ids when a task has crashed them
+    :ivar worker_count: number of workers
     :ivar version: version of the last configuration written
     :ivar injected: number of faults by kind
     :ivar faults_until_s: planned end of the fault injected last, or the end of an earlier fault
@@ -100,7 +101,7 @@
         self._worker_links: dict[str, links.Link] = {}
         self._worker_scopes: dict[str, trio.CancelScope] = {}
         self.instances = [self._make_instance(number, folder) for number in range(entries)]
-        self._workers = workers
+        self.worker_count = workers
 
     async def start(self) -> None:
         """Start the stand-ins, then the instances."""
@@ -110,7 +111,7 @@
         store = server.Server(f"127.0.0.1:{self._store_port}", self.kv.handle)
         await self._nursery.start(store.run)
         self.write_configuration()
-        for number in range(self._workers):
+        for number in range(self.worker_count):
             await self._add_worker(f"i-{number}", rack=f"r{number // 4}")
         for instance in self.instances:
             start(instance.store.run)
