A crash at an unanswered start alone does not give a task up

A job was shown as failed after one worker had crashed under it.

Cause: its first start was sent to a worker that was about to crash under another task, and was never answered. That crash counted like one under a run that the worker had acknowledged, so that the next crash was the second. Whether a worker that crashed had received an unanswered start cannot be told afterwards.

Change: crashes of workers that had acknowledged the run are counted apart, and the record of the job keeps the count. A task is given up only after two of them, or after five crashes of any kind, so that a task that crashes its workers before they answer still ends. Records without the count read as before.

--- a/src/bronzequay/core/losses.py
+++ b/src/bronzequay/core/losses.py
@@ -24,6 +24,11 @@
 last one."""
 MAX_CRASHES = 4
 """Crashes under a task after which it is given up, whatever else ran on those workers."""
+MIN_CONFIRMED_CRASHES = 2
+"""Crashes that were certainly under a task without which it is not given up before it has reached
+``MAX_UNCONFIRMED_CRASHES``."""
+MAX_UNCONFIRMED_CRASHES = 5
+"""Crashes after which a task is given up although most of its starts went unanswered."""
 SILENCE_S = 2.0
 """Time since its last listing after which a worker counts as silent; a sound one sends a listing
 every 1.6 s at most. A start that follows the last listing within this time may have been received.
@@ -132,7 +137,7 @@
         if task.crashes and state.now_s - task.started_s > SERVICE_MEMORY_S:
             step = state.step_of(task.key)
             if step is not None and step.spec.is_endless:
-                task.crashes = 0
+                task.crashes = task.confirmed_crashes = 0
                 state.dirty_jobs.add(task.key.job)
 
 
@@ -141,6 +146,7 @@
     starting = [task for task in suspects if _was_starting(task)]
     for task in suspects:
         task.crashes += 1
+        task.confirmed_crashes += is_certain and task.is_confirmed
         state.dirty_jobs.add(task.key.job)
     for task in starting:
         task.fatal_starts += 1
@@ -165,6 +171,11 @@
         step = state.step_of(task.key)
         if step is None or step.is_done or step.job.is_final:
             continue
+        if (
+            task.confirmed_crashes < MIN_CONFIRMED_CRASHES
+            and task.crashes < MAX_UNCONFIRMED_CRASHES
+        ):
+            continue
         is_identified = is_certain and is_only_step and task.is_confirmed
         if is_identified and task.fatal_starts >= MIN_FATAL_STARTS:
             what = f"crashed its worker at {task.fatal_starts} starts"
--- a/src/bronzequay/core/records.py
+++ b/src/bronzequay/core/records.py
@@ -30,6 +30,7 @@
     checkpoint: str = ""
     crashes: int = 0
     fatal_starts: int = 0
+    confirmed_crashes: int = 0
 
 
 class StepRecord(msgspec.Struct, array_like=True):
@@ -98,6 +99,7 @@
         task.checkpoint,
         task.crashes,
         task.fatal_starts,
+        task.confirmed_crashes,
     )
 
 
@@ -146,6 +148,7 @@
         task.run = task_record.run
         task.failures = task_record.failures
         task.crashes, task.fatal_starts = task_record.crashes, task_record.fatal_starts
+        task.confirmed_crashes = task_record.confirmed_crashes
         if task.fatal_starts:
             state.suspect_steps.add(step.key)
         task.checkpoint = task_record.checkpoint
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -36,6 +36,7 @@
     :ivar first_sample: first progress report of the current run
     :ivar last_sample: latest progress report of the current run
     :ivar crashes: workers that crashed while the task was on them, or may have
+    :ivar confirmed_crashes: those that have certainly crashed and had acknowledged the run
     :ivar fatal_starts: those that crashed as the task started; 0 once a worker has survived a start
     :ivar progressed_s: when the progress of the current run last increased
     :ivar started_s: when the start of the current run was ordered; the beginning of the term if an
@@ -46,6 +47,7 @@
 
     __slots__ = (
         "checkpoint",
+        "confirmed_crashes",
         "crashes",
         "failures",
         "fatal_starts",
@@ -70,7 +72,7 @@
         self.worker: ids.WorkerId | None = None
         self.checkpoint = ""
         self.failures = 0
-        self.crashes = 0
+        self.crashes = self.confirmed_crashes = 0
         self.fatal_starts = 0
         self.is_confirmed = False
         self.phase_since_s = 0.0
--- a/tests/core/test_losses.py
+++ b/tests/core/test_losses.py
@@ -243,6 +243,38 @@
     assert task_of(state, 1).crashes == 0
 
 
+@pytest.mark.parametrize("is_late", [False, True])
+def test_a_crash_at_an_unanswered_start_is_no_proof_against_a_task(is_late: bool) -> None:
+    """Guards against giving a job up for a worker that had crashed before it got the start."""
+    state = build_state(2)
+    accept(state, 1)
+    state.now_s = 0.0
+    (unanswered,) = starts(run_pass(state, 0.0))
+    crash(state, unanswered.worker, 3.0)
+    (name,) = start_all(state, 3.0)
+    if is_late:
+        list_runs(state, name, 3.5)
+        list_runs(state, name, 5.0)
+    crash(state, name, 8.0)
+    assert len(state.jobs) == 1
+    (name,) = start_all(state, 8.0)
+    crash(state, name, 11.0)
+    assert [job.state for job in state.retired_jobs] == ([] if is_late else [model.JobState.FAILED])
+
+
+def test_a_task_whose_starts_all_go_unanswered_is_given_up_after_five_crashes() -> None:
+    """Guards against a task that crashes each worker before its start is answered."""
+    state = build_state(2)
+    accept(state, 1)
+    for now_s in range(0, 15, 3):
+        assert not state.retired_jobs
+        for worker in state.workers.values():
+            worker.heard_s = now_s
+        (start,) = starts(run_pass(state, now_s))
+        crash(state, start.worker, now_s + 3.0)
+    assert [job.state for job in state.retired_jobs] == [model.JobState.FAILED]
+
+
 @pytest.mark.parametrize("loss", [losses.Loss.LEFT, losses.Loss.UPKEEP])
 def test_planned_losses_are_not_crashes(loss: losses.Loss) -> None:
     state = build_state(2)
@@ -312,7 +344,8 @@
     (job,) = state.jobs.values()
     restored = build_state(2)
     records.restore(restored, job.spec, records.encode(job))
-    assert (task_of(restored, 1).crashes, task_of(restored, 1).fatal_starts) == (1, 1)
+    task = task_of(restored, 1)
+    assert (task.crashes, task.fatal_starts, task.confirmed_crashes) == (1, 1, 1)
     (name,) = start_all(restored, 0.0)
     crash(restored, name, 3.0)
     assert [ended.state for ended in restored.retired_jobs] == [model.JobState.FAILED]
