Look for starts apart from others only while there are suspects

Seen: with processor time, the scheduler of the larger sites used more of it than before the crashing tasks were handled.

Cause: each attempt to place a step asked all of its waiting tasks whether they may still wait for a worker of their own, also where no task is suspected of a crash.

Change: the question is asked only while a step has suspects.

--- a/src/bronzequay/core/isolate.py
+++ b/src/bronzequay/core/isolate.py
@@ -11,6 +11,8 @@
 from bronzequay.core import model
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from bronzequay.core.state import State, StepRun, Task, Worker
 
 START_S = 1.0
@@ -30,13 +32,11 @@
     return step.key in state.suspect_steps
 
 
-def may_start_on(state: State, worker: Worker, step: StepRun, *, is_suspect: bool) -> bool:
+def may_start_on(worker: Worker, step: StepRun, *, is_suspect: bool) -> bool:
     """Return whether a task can start on a worker with no suspect among other starting tasks.
 
     :param is_suspect: whether the task is a suspect, or belongs to a gang that has one
     """
-    if not state.suspect_steps:
-        return True
     own = step.key
     for task in worker.tasks.values():
         if task.phase not in _STARTABLE_PHASES or is_past_start(task):
@@ -63,6 +63,11 @@
     return state.now_s - since_s < MAX_WAIT_S
 
 
+def must_start_apart(state: State, step: StepRun, tasks: Iterable[Task]) -> bool:
+    """Return whether tasks of a step may start only on workers that ``may_start_on`` allows."""
+    return bool(state.suspect_steps) and any(may_wait(state, step, task) for task in tasks)
+
+
 def waits_apart(state: State, step: StepRun) -> bool:
     """Return whether a step with suspects waits for workers of their own; it reserves no room."""
     return has_suspects(state, step) and any(
@@ -92,5 +97,6 @@
     "is_suspect_starting",
     "may_start_on",
     "may_wait",
+    "must_start_apart",
     "waits_apart",
 ]
--- a/src/bronzequay/core/place.py
+++ b/src/bronzequay/core/place.py
@@ -261,20 +261,20 @@
     """Assign tasks in order of preference, as far as workers have room.
 
     For suspects the workers with the fewest tasks come first. Then workers without recent failures
-    come first, then the rack near the data, then those that are
-    not about to be replaced, then the racks and workers with the fewest free accelerators.
+    come first, then the rack near the data, then those that are not about to be replaced, then the
+    racks and workers with the fewest free accelerators.
     """
     rack = step.spec.data_rack
     need = states.allocation_of(step.spec)
     until_s = state.now_s + step.spec.estimate_s
     free_gpus_by_rack: dict[str, int] = {}
-    must_be_apart = any(isolate.may_wait(state, step, task) for task in waiting)
+    must_be_apart = isolate.must_start_apart(state, step, waiting)
     slots = []
     for worker in workers:
         free_gpus_by_rack[worker.spec.rack] = (
             free_gpus_by_rack.get(worker.spec.rack, 0) + worker.free_gpu
         )
-        if must_be_apart and not isolate.may_start_on(state, worker, step, is_suspect=is_suspect):
+        if must_be_apart and not isolate.may_start_on(worker, step, is_suspect=is_suspect):
             continue
         if worker.free_gpu >= need.gpu and worker.free_cpu >= need.cpu:
             fits = view.unreserved_room(worker, until_s).count_fitting(
