Give up a job that ends term after term

Looked for beside the tasks that crash their workers, as the same class of fault: one request that brings down server after server, and takes the witness with it.

Seen: in tests only. An error that one job causes in scheduling, storing or restoring ended the term; the next scheduler loaded the job and failed alike, without end. Nothing was scheduled for anybody.

Cause: a term kept nothing of why it had failed.

A job at which two terms have failed is failed before the third decides anything. At most three jobs an hour are given up: if more make terms fail, the cause is not in the jobs, and they wait until scheduling works again.

--- a/src/bronzequay/control/intake.py
+++ b/src/bronzequay/control/intake.py
@@ -9,7 +9,7 @@
 import structlog
 import trio
 
-from bronzequay.control import keys, prefix
+from bronzequay.control import failures, keys, prefix
 from bronzequay.core import lifecycle, model, records
 from bronzequay.platform import kv
 
@@ -25,6 +25,8 @@
 WATCH_S = 1.5
 """Longest wait of one watch call; a silent connection is noticed after it."""
 
+GIVEN_UP_REASON = f"scheduling it failed with an unexpected error in {failures.MAX_FAILURES} terms"
+
 _log = structlog.get_logger()
 
 
@@ -47,23 +49,36 @@
         :raises errors.BronzequayError: the store cannot be read
         """
         snapshots: dict[str, Snapshot] = {}
+        given_up: set[ids.JobId] = set()
 
         async def read(prefix: str) -> None:
             snapshots[prefix] = await self._store.range(prefix)
 
+        async def read_failures() -> None:
+            item = await self._store.get(keys.FAILURES)
+            given_up.update(
+                journal.load_failures(None if item is None else item.value, state.wall_s)
+            )
+
         async with trio.open_nursery() as nursery:
             for prefix in (keys.PROGRESS, keys.INBOX):
                 nursery.start_soon(read, prefix)
+            nursery.start_soon(read_failures)
         inbox = snapshots[keys.INBOX]
         progress = {keys.job_id_in(item.key): item.value for item in snapshots[keys.PROGRESS].items}
         for spec in _decode_jobs(inbox.items):
+            state.considered_job = spec.job
             try:
+                if spec.job in given_up and not records.is_final(progress.get(spec.job)):
+                    lifecycle.give_up(state, spec, GIVEN_UP_REASON)
+                    continue
                 records.restore(state, spec, progress.get(spec.job))
             except (msgspec.MsgspecError, IndexError, KeyError) as exc:
                 _log.error("progress_unreadable", job=spec.job, error=str(exc))
                 continue
             if spec.job in state.jobs:
                 journal.add_stored(state.jobs[spec.job])
+        state.considered_job = None
         self._cancel(state, inbox.items)
         self._rev = inbox.rev
 
--- a/src/bronzequay/control/journal.py
+++ b/src/bronzequay/control/journal.py
@@ -9,7 +9,7 @@
 import trio
 
 from bronzequay import codes, errors, ids
-from bronzequay.control import keys, status
+from bronzequay.control import failures, keys, status
 from bronzequay.core import explain, records
 from bronzequay.platform import kv, machines
 
@@ -68,6 +68,7 @@
         self._rev = kv.ABSENT
         self._stored_states: dict[ids.JobId, str] = {}
         self._started_jobs: set[ids.JobId] = set()
+        self._failures: tuple[failures.Failure, ...] = ()
 
     async def fence_earlier_terms(self) -> None:
         """Write the head, so that the writes of earlier terms fail from now on.
@@ -95,16 +96,33 @@
         if job.has_begun:
             self._started_jobs.add(job.spec.job)
 
+    def load_failures(self, value: bytes | None, wall_s: float) -> set[ids.JobId]:
+        """Take over the stored failures of earlier terms and return the jobs to give up."""
+        self._failures = failures.decode(value)
+        return failures.given_up(self._failures, wall_s)
+
+    async def record_failure(self, job: ids.JobId, wall_s: float) -> None:
+        """Record that this term has failed at a job.
+
+        :raises errors.BronzequayError: FENCED when a later term has begun
+        """
+        self._failures = failures.add(self._failures, job, wall_s)
+        await self._write(Change([kv.Put(keys.FAILURES, failures.encode(self._failures))]))
+
     async def commit(self, state: State, orphaned_cancels: Iterable[ids.JobId]) -> None:
         """Make all changes of the core durable.
 
         :param orphaned_cancels: jobs that are not open and whose cancellations are to be removed
         :raises errors.BronzequayError: FENCED when a later term has begun
         """
-        changes = [
-            self._job_change(state.jobs[name], state.wall_s) for name in sorted(state.dirty_jobs)
-        ]
-        changes += [self._retired_job_change(job, state.wall_s) for job in state.retired_jobs]
+        changes = []
+        for name in sorted(state.dirty_jobs):
+            state.considered_job = name
+            changes.append(self._job_change(state.jobs[name], state.wall_s))
+        for job in state.retired_jobs:
+            state.considered_job = job.spec.job
+            changes.append(self._retired_job_change(job, state.wall_s))
+        state.considered_job = None
         changes += [Change(deletes=[keys.cancel(job_id)]) for job_id in orphaned_cancels]
         changes += [_wave_change(state.waves[number]) for number in sorted(state.dirty_waves)]
         state.dirty_waves.clear()
--- a/src/bronzequay/control/keys.py
+++ b/src/bronzequay/control/keys.py
@@ -16,6 +16,7 @@
 STATES = ROOT + "state/"
 PROGRESS = ROOT + "run/"
 WAVES = ROOT + "wave/"
+FAILURES = ROOT + "failures"
 
 
 def job(job_id: ids.JobId) -> str:
@@ -60,6 +61,7 @@
 
 __all__ = [
     "CANCELS",
+    "FAILURES",
     "HEAD",
     "INBOX",
     "JOBS",
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -8,7 +8,7 @@
 import structlog
 import trio
 
-from bronzequay import clock, figures
+from bronzequay import clock, errors, figures
 from bronzequay.control import advisor, intake, journal, roster, session, sweep, upkeep
 from bronzequay.core import explain, lifecycle, losses, model, schedule
 from bronzequay.core import state as states
@@ -29,6 +29,8 @@
 MAX_MISSED_BEATS = 2
 ENTRY_DELAY_S = 1.0
 """Longest time from the write of a worker's entry to its arrival here."""
+FAILURE_WRITE_S = 2.0
+"""Time for the record of a failed term; without an answer the next term may fail alike."""
 PAUSE_FACTOR = 2.0
 """Pause after a scheduling pass as a multiple of its duration, in which events accumulate."""
 
@@ -185,13 +187,26 @@
     async def run(self) -> None:
         """Fence earlier terms, load the stored state and schedule until the term ends.
 
+        An unexpected error is recorded with the job that was being decided about.
+
         :raises errors.BronzequayError: the reason why the term ended
         """
+        try:
+            await self._run()
+        except* errors.BronzequayError:
+            raise
+        except* Exception:
+            await self._record_failure()
+            raise
+
+    async def _run(self) -> None:
         self._read_clocks()
         await self._journal.fence_earlier_terms()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._upkeep.load, self._state)
             nursery.start_soon(self._intake.load, self._state, self._journal)
+        # Jobs that were given up are final even if the first pass fails again.
+        await self._journal.commit(self._state, ())
         _log.info("term_began", epoch=self.epoch, jobs=len(self._state.jobs))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._intake.run)
@@ -202,6 +217,15 @@
             nursery.start_soon(self._tick)
             await self._decide()
 
+    async def _record_failure(self) -> None:
+        """Record the job at which this term has failed, if it was deciding about one."""
+        job = self._state.considered_job
+        if job is None:
+            return
+        _log.error("job_ended_term", job=job, epoch=self.epoch)
+        with trio.move_on_after(FAILURE_WRITE_S):
+            await self._journal.record_failure(job, clock.wall_s())
+
     async def _decide(self) -> None:
         while True:
             await self._wake.wait()
@@ -210,7 +234,9 @@
             posts, self._posts = self._posts, []
             self._read_clocks()
             for change, _ in posts:
+                self._state.considered_job = None
                 change(self._state)
+            self._state.considered_job = None
             self._end_runs_on_absent_workers()
             self._schedule()
             orphaned, self._intake.orphaned_cancels = self._intake.orphaned_cancels, set()
--- a/src/bronzequay/core/lifecycle.py
+++ b/src/bronzequay/core/lifecycle.py
@@ -27,6 +27,7 @@
     """Add an accepted job; does nothing if the job is known or was retired in this term."""
     if spec.job in state.jobs or spec.job in state.ended_jobs:
         return
+    state.considered_job = spec.job
     job = states.Job(spec)
     state.jobs[spec.job] = job
     state.record_decision(
@@ -39,6 +40,13 @@
     occurrences.open_due(state, job)
 
 
+def give_up(state: State, spec: model.JobSpec, reason: str) -> None:
+    """Fail a job without reading its progress; what still runs of it is stopped as stray."""
+    job = states.Job(spec)
+    state.jobs[spec.job] = job
+    end_job(state, job, model.JobState.FAILED, reason)
+
+
 def cancel(state: State, job_id: ids.JobId) -> None:
     """Cancel a job; does nothing if it is unknown or final."""
     job = state.jobs.get(job_id)
@@ -172,6 +180,7 @@
 
     Ends of earlier runs of the task are ignored.
     """
+    state.considered_job = key.job
     known_worker = state.workers.get(worker)
     if known_worker is not None:
         known_worker.stray_runs.discard((key, run))
@@ -361,6 +370,7 @@
     "end_job",
     "end_lost_runs",
     "end_run",
+    "give_up",
     "may_stop_another",
     "remove_worker",
     "retire",
--- a/src/bronzequay/core/records.py
+++ b/src/bronzequay/core/records.py
@@ -103,6 +103,17 @@
     )
 
 
+def is_final(value: bytes | None) -> bool:
+    """Return whether a stored record says that its job has ended.
+
+    :raises msgspec.MsgspecError: the record cannot be decoded
+    """
+    if value is None:
+        return False
+    state = msgspec.msgpack.decode(value, type=JobRecord).state
+    return model.JobState(state) in model.FINAL_STATES
+
+
 def restore(state: State, spec: model.JobSpec, value: bytes | None) -> None:
     """Add a job from its specification and its progress record.
 
--- a/src/bronzequay/core/schedule.py
+++ b/src/bronzequay/core/schedule.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from bronzequay import ids
+    from bronzequay.core import model
     from bronzequay.core.state import State, StepRun
 
 MAX_LOSS_FACTORS = {
@@ -50,11 +51,12 @@
     isolate.drop_cleared_steps(state)
     upkeep.run(state)
     guaranteed = order.guaranteed_jobs(state)
-    ranks = {key: order.rank(state, step, guaranteed) for key, step in state.open_steps.items()}
+    ranks = _rank_open_steps(state, guaranteed)
     view = place.FleetView(state)
     reservations, state.reservations = state.reservations, {}
     for key in sorted(ranks, key=lambda key: (key not in reservations, ranks[key])):
         step = state.open_steps[key]
+        state.considered_job = key.job
         placement = place.find_placement(state, step, view)
         if placement:
             lifecycle.start(state, step, placement)
@@ -78,11 +80,24 @@
                     worker_id, states.allocation_of(step.spec), count, reservation.available_s
                 )
 
+    state.considered_job = None
+
 
 def _open_due_occurrences(state: State) -> None:
     for job in list(state.jobs.values()):
         if job.next_occurrence < job.occurrence_count and not job.is_final:
+            state.considered_job = job.spec.job
             occurrences.open_due(state, job)
+    state.considered_job = None
+
+
+def _rank_open_steps(state: State, guaranteed: set[ids.JobId]) -> dict[model.StepKey, order.Rank]:
+    ranks = {}
+    for key, step in state.open_steps.items():
+        state.considered_job = key.job
+        ranks[key] = order.rank(state, step, guaranteed)
+    state.considered_job = None
+    return ranks
 
 
 def _may_keep_reservation(
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -281,6 +281,7 @@
     :ivar orphaned_tasks: tasks placed on workers that have not joined, by worker
     :ivar suspect_steps: steps with tasks whose workers crashed as they started
     :ivar lost_workers: workers that crashed a short time ago
+    :ivar considered_job: job that is being decided about, to be named if that fails
     :ivar dirty_jobs: jobs whose record changed
     :ivar retired_jobs: jobs that have ended and have no placed tasks, until they are committed
     :ivar ended_jobs: when jobs were retired in this term
@@ -305,6 +306,7 @@
         self.orphaned_tasks: dict[ids.WorkerId, dict[model.TaskKey, Task]] = {}
         self.suspect_steps: set[model.StepKey] = set()
         self.lost_workers: list[losses.LostWorker] = []
+        self.considered_job: ids.JobId | None = None
         self.dirty_jobs: set[ids.JobId] = set()
         self.retired_jobs: list[Job] = []
         self.ended_jobs: dict[ids.JobId, float] = {}
