Members of a gang resume from their own checkpoints

Cause: the progress that checkpoints keep was one number for the gang, the least of its members'. A member that had been released earlier was told to resume before the point of its own checkpoint and repeated the difference.

--- a/src/bronzequay/policy/lifecycle.py
+++ b/src/bronzequay/policy/lifecycle.py
@@ -153,7 +153,7 @@
     record = current_record(state, event.job, event.attempt)
     if record is None:
         return ()
-    record.attained_s += event.kept_s
+    _add_checkpoints(record, event)
     if record.state in _ACTIVE_STATES:
         record.fault = record.fault or model.MemberFault.WORKER_LOST
         code = codes.ResultCode.WORKER_LOST
@@ -172,6 +172,22 @@
     return ()
 
 
+def _add_checkpoints(record: model.JobRecord, event: model.GangStopped) -> None:
+    """Add the run time that the checkpoints of an attempt preserve.
+
+    Members are released and stopped at slightly different times, so each resumes from its own.
+    """
+    totals_s = [
+        record.ahead_s.get(member, 0.0) + event.ahead_s.get(member, 0.0)
+        for member in range(record.spec.members)
+    ]
+    common_s = min(totals_s)
+    record.attained_s += event.kept_s + common_s
+    record.ahead_s = {
+        member: total_s - common_s for member, total_s in enumerate(totals_s) if total_s > common_s
+    }
+
+
 def _enter_cancelling_if_required(
     state: core_state.State, record: model.JobRecord, now_s: float
 ) -> None:
--- a/src/bronzequay/sched/attempt.py
+++ b/src/bronzequay/sched/attempt.py
@@ -103,11 +103,17 @@
                 return model.MemberFailed(self.job, self.number, self.worker_of(task), fault)
         return None
 
-    def checkpointed_s(self) -> float:
-        """Return the run time that the checkpoints of all members cover, in seconds."""
+    def stopped(self) -> model.GangStopped:
+        """Return the event that all tasks have ended, with what their checkpoints preserve.
+
+        Without the checkpoints of all members none of them is valid.
+        """
         if not self.is_checkpointed():
-            return 0.0
-        return min(status.ran_s for status in self.statuses.values())
+            return model.GangStopped(self.job, self.number)
+        ran_s = {_member_of(task): status.ran_s for task, status in self.statuses.items()}
+        kept_s = min(ran_s.values())
+        ahead_s = {member: each_s - kept_s for member, each_s in ran_s.items() if each_s > kept_s}
+        return model.GangStopped(self.job, self.number, kept_s, is_kept=True, ahead_s=ahead_s)
 
     def is_checkpointed(self) -> bool:
         """Return whether every member has been checkpointed."""
@@ -119,6 +125,12 @@
         self.wake.set()
 
 
+def _member_of(task: ids.TaskId) -> int:
+    key = tasks.parse(task)
+    assert key is not None  # noqa: S101  # an attempt names its own tasks
+    return key.member
+
+
 _FAULT_BY_STATE = {
     client.TaskState.FAILED: model.MemberFault.TASK_FAILED,
     client.TaskState.LAPSED: model.MemberFault.WORKER_LOST,
--- a/src/bronzequay/sched/gang.py
+++ b/src/bronzequay/sched/gang.py
@@ -28,7 +28,7 @@
 
     :param is_active: returns whether the scheduler's lease is certainly still held
     :param emit: queues an event for the core
-    :param attained_s: returns the run time of a job that checkpoints have kept, in seconds
+    :param attained_s: returns the run time of a job's member that checkpoints have kept, in seconds
     :param withhold_renewals: makes every keeper stop renewing the leases of tasks; returns False
         if a keeper did not confirm
     :param payload: returns what a worker runs for a job
@@ -39,7 +39,7 @@
     epoch: ids.Epoch
     is_active: Callable[[], bool]
     emit: Callable[[model.Event], None]
-    attained_s: Callable[[ids.JobId], float]
+    attained_s: Callable[[ids.JobId, int], float]
     withhold_renewals: Callable[[Sequence[ids.TaskId]], Awaitable[bool]]
     payload: Callable[[model.JobSpec], bytes]
 
@@ -87,7 +87,6 @@
     context: TermContext, command: model.StartGang
 ) -> dict[ids.WorkerId, list[client.Start]]:
     spec = command.spec
-    resume_s = context.attained_s(command.job)
     starts: dict[ids.WorkerId, list[client.Start]] = {}
     for placement in command.placements:
         start = client.Start(
@@ -100,7 +99,7 @@
             mem_gb=spec.mem_gb,
             ttl_s=keeper.TASK_TTL_S,
             held=True,
-            resume_s=resume_s,
+            resume_s=context.attained_s(command.job, placement.member),
             payload=msgspec.Raw(context.payload(spec)),
         )
         starts.setdefault(placement.worker, []).append(start)
@@ -173,10 +172,7 @@
     if attempt.has_succeeded():
         context.emit(model.GangFinished(attempt.job, attempt.number))
     else:
-        stopped = model.GangStopped(
-            attempt.job, attempt.number, attempt.checkpointed_s(), attempt.is_checkpointed()
-        )
-        context.emit(stopped)
+        context.emit(attempt.stopped())
 
 
 async def _await_final_statuses(
--- a/src/bronzequay/sched/terms.py
+++ b/src/bronzequay/sched/terms.py
@@ -245,7 +245,7 @@
             epoch=term.job_journal.epoch,
             is_active=lambda: term.is_active,
             emit=lambda event: _emit(term, event),
-            attained_s=lambda job: term.state.jobs[job].attained_s,
+            attained_s=lambda job, member: term.state.jobs[job].attained_by(member),
             withhold_renewals=withhold_renewals,
             payload=payload,
         )
