The failure of a rack excuses a starting task only once

A task started for the sixth time after five workers had crashed under it.

Cause: two of the five crashes were put down to the failure of the worker's rack, one because four workers had been cut off and others crashed under tasks of the same pass, one because a rack did fail at that moment. Excused crashes were forgotten: the task was not even suspected at its next start.

Change: a task whose worker crashes at its start is a suspect also if its rack seems to have failed, and a suspect is not excused again. Crashes under an acknowledged run are counted as certain whatever else fell silent. Running tasks are excused as before, however often their rack fails.

--- a/src/bronzequay/core/losses.py
+++ b/src/bronzequay/core/losses.py
@@ -97,12 +97,9 @@
         state.lost_workers.append(_as_lost(state, worker))
     if loss not in _COUNTED_LOSSES:
         return
-    suspects = [
-        task
-        for task in tasks
-        if _may_have_begun(worker, task) and not _is_rack_failure(task, len(mates), silent_mates)
-    ]
-    _count(state, worker, suspects, is_certain=loss is Loss.CRASHED)
+    begun = [task for task in tasks if _may_have_begun(worker, task)]
+    excused = [task for task in begun if _is_excused(task, len(mates), silent_mates)]
+    _count(state, worker, begun, excused, is_certain=loss is Loss.CRASHED)
 
 
 def record_absent(state: State, worker: ids.WorkerId, tasks: Sequence[Task]) -> None:
@@ -141,14 +138,23 @@
                 state.dirty_jobs.add(task.key.job)
 
 
-def _count(state: State, worker: Worker, suspects: list[Task], *, is_certain: bool) -> None:
-    """Count a crash for the tasks that may have caused it."""
+def _count(
+    state: State, worker: Worker, begun: list[Task], excused: list[Task], *, is_certain: bool
+) -> None:
+    """Count a crash for the tasks that may have caused it.
+
+    :param begun: tasks that had begun on the worker, or may have
+    :param excused: those of them that are excused by the failure of their rack
+    """
+    suspects = [task for task in begun if task not in excused]
     starting = [task for task in suspects if _was_starting(task)]
-    for task in suspects:
-        task.crashes += 1
+    for task in begun:
         task.confirmed_crashes += is_certain and task.is_confirmed
         state.dirty_jobs.add(task.key.job)
-    for task in starting:
+    for task in suspects:
+        task.crashes += 1
+    # One excuse only: a task that was just starting is suspected if its next worker crashes too.
+    for task in [task for task in begun if _was_starting(task)] if is_certain else starting:
         task.fatal_starts += 1
         state.suspect_steps.add(model.StepKey(*task.key[:3]))
     if not is_certain:
@@ -226,6 +232,14 @@
     return is_silent and abs(mate.heard_s - worker.heard_s) < SILENCE_S
 
 
+def _is_excused(task: Task, mate_count: int, silent_mates: list[LostWorker]) -> bool:
+    """Return whether a crash is not counted under a task because its rack has failed.
+
+    A suspect is not excused, since power hardly fails at the start of one task again and again.
+    """
+    return not task.fatal_starts and _is_rack_failure(task, mate_count, silent_mates)
+
+
 def _is_rack_failure(task: Task, mate_count: int, silent_mates: list[LostWorker]) -> bool:
     """Return whether half of the other workers of a rack crashed with a task's worker.
 
--- a/tests/core/test_losses.py
+++ b/tests/core/test_losses.py
@@ -217,6 +217,25 @@
     assert task_of(state, 1).crashes == counted
 
 
+@pytest.mark.parametrize(("ran_s", "is_given_up"), [(0.0, True), (5.0, False)])
+def test_a_rack_failure_excuses_a_task_only_once_at_its_start(
+    ran_s: float, is_given_up: bool
+) -> None:
+    """Guards against crashing tasks that go uncounted beside workers that are cut off or crash."""
+    state = build_state(8)
+    accept(state, 1)
+    for now_s in (0.0, 20.0):
+        (name,) = start_all(state, now_s)
+        list_runs(state, name, now_s + 0.1)
+        list_runs(state, name, now_s + 0.1 + ran_s)
+        rack = state.workers[ids.WorkerId(name)].spec.rack
+        mates = [worker for worker in state.workers.values() if worker.spec.rack == rack]
+        for mate in mates:
+            mate.heard_s = now_s + 0.1 + ran_s
+        crash(state, name, now_s + 10.0, silent=[mate.spec.worker for mate in mates])
+    assert bool(state.retired_jobs) == is_given_up
+
+
 @pytest.mark.parametrize(("ran_s", "counted"), [(0.0, 1), (5.0, 0)])
 def test_crashes_at_the_starts_of_several_tasks_are_no_rack_failure(
     ran_s: float, counted: int
