Start work also while the entries of all workers arrive late

Work had room everywhere and did not start.

Cause: since nothing starts on a worker whose entry is older than two beats and a second, as its capacity may have changed unseen. With 3,000 workers all entries arrive later than that. A watch whose answer took longer than its limit was repeated from the same revision, so that the next answer was larger still, until the store had dropped the history.

Change: the age at which the newest entries arrive is allowed for. After a watch of workers without an answer all entries are read, which takes the same time however long the watch was behind.

Result: both new tests failed before.

--- a/src/bronzequay/control/prefix.py
+++ b/src/bronzequay/control/prefix.py
@@ -41,6 +41,7 @@
     on_snapshot: Callable[[tuple[Item, ...]], None],
     wait_s: float,
     pause_s: float = 0.0,
+    rereads: bool = False,
 ) -> NoReturn:
     """Report every change of the keys under a prefix until cancelled.
 
@@ -49,6 +50,8 @@
     :param on_snapshot: called with all items when the store no longer has the changes since ``rev``
     :param wait_s: longest wait of one watch call
     :param pause_s: time between two watch calls, so that changes arrive in batches
+    :param rereads: whether all items are read after a watch without an answer. Where many keys
+        change all the time, the changes pile up until they take longer than any time limit.
     """
     while True:
         try:
@@ -56,10 +59,12 @@
                 prefix, after=rev, wait_s=wait_s, margin_s=kv.BULK_WATCH_MARGIN_S
             )
         except errors.BronzequayError as exc:
-            if exc.code is not codes.ResultCode.HISTORY_LOST:
+            is_lost = exc.code is codes.ResultCode.HISTORY_LOST
+            is_behind = rereads and exc.code is codes.ResultCode.STORE_TIMEOUT
+            if not is_lost and not is_behind:
                 await trio.sleep(RETRY_S)
                 continue
-            _log.warning("history_lost", prefix=prefix, after=rev)
+            _log.warning("history_lost" if is_lost else "watch_behind", prefix=prefix, after=rev)
             snapshot = await read_with_retries(store, prefix)
             rev = snapshot.rev
             on_snapshot(snapshot.items)
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 from typing import TYPE_CHECKING
 
 import structlog
@@ -68,6 +69,7 @@
                 on_snapshot=self._on_snapshot,
                 wait_s=WATCH_S,
                 pause_s=BATCH_PAUSE_S,
+                rereads=True,
             )
 
     def _on_snapshot(self, items: tuple[Item, ...]) -> None:
@@ -77,20 +79,24 @@
         self._on_change(items)
 
     def _on_change(self, items: tuple[Item, ...]) -> None:
-        for item in items:
-            self._on_item(item)
-
-    def _on_item(self, item: Item) -> None:
+        stated_s = [self._on_item(item) for item in items]
+        newest_s = max(stated_s, default=float("-inf"))
+        if math.isfinite(newest_s):
+            lag_s = trio.current_time() - newest_s
+            self._term.post(lambda state: _set_entry_lag(state, lag_s))
+
+    def _on_item(self, item: Item) -> float:
+        """Apply a changed entry; return when the worker wrote it, minus infinity if unknown."""
         executor = workers.executor_from_key(item.key)
         entry = None if item.value is None else workers.decode_entry(item.key, item.value)
         if entry is not None:
-            self._on_entry(entry)
-            return
+            return self._on_entry(entry)
         if item.value is not None:
             _log.warning("entry_unreadable", executor=executor, revision=item.rev)
         self._on_unlisted(executor)
+        return float("-inf")
 
-    def _on_entry(self, entry: workers.ExecutorEntry) -> None:
+    def _on_entry(self, entry: workers.ExecutorEntry) -> float:
         current = self._sessions.get(entry.executor)
         if current is not None and current.worker != entry.spec.worker:
             self.end_session(current, session.Ending.RESTARTED)
@@ -102,12 +108,13 @@
             _log.info("worker_joined", worker=current.worker, barred=len(barred))
             self._term.post(lambda state: _add_worker(state, entry))
             self._nursery.start_soon(current.run)
-            return
+            return float("-inf")
         if current.entry.is_draining != entry.is_draining or not current.is_listed:
             _log.info("worker_changed", worker=current.worker, is_draining=entry.is_draining)
         current.entry, current.is_listed = entry, True
         stated_s = current.stated_s
         self._term.post(lambda state: _update_worker(state, entry, stated_s))
+        return stated_s if math.isfinite(stated_s) else float("-inf")
 
     def _on_unlisted(self, executor: ids.ExecutorId) -> None:
         """Stop placing work on a worker that the store no longer lists."""
@@ -160,6 +167,10 @@
     _update_worker(state, entry, worker.stated_s)
 
 
+def _set_entry_lag(state: State, lag_s: float) -> None:
+    state.entry_lag_s = lag_s
+
+
 def _remove_worker(
     state: State,
     worker_id: ids.WorkerId,
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -275,6 +275,7 @@
     :ivar now_s: the runtime's clock at the current event
     :ivar wall_s: seconds since the Unix epoch at the current event
     :ivar max_entry_age_s: age of a worker's entry from which its capacity may have changed unseen
+    :ivar entry_lag_s: age at which entries arrive, by the newest of the latest ones
     :ivar is_changed: whether another pass could start or stop more than the last one
     :ivar open_steps: steps that are ready and have waiting tasks
     :ivar reservations: room that steps wait for
@@ -296,6 +297,7 @@
     def __init__(self, rules: model.Rules, *, max_entry_age_s: float = float("inf")) -> None:
         self.rules = rules
         self.max_entry_age_s = max_entry_age_s
+        self.entry_lag_s = 0.0
         self.now_s = 0.0
         self.wall_s = 0.0
         self.is_changed = True
@@ -319,8 +321,11 @@
         self.decisions: list[Decision] = []
 
     def is_capacity_known(self, worker: Worker, now_s: float) -> bool:
-        """Return whether a worker has recently stated its capacity."""
-        return now_s - worker.stated_s <= self.max_entry_age_s
+        """Return whether the latest entry that a worker can have written has arrived.
+
+        Entries that arrive late because there are many of them do not stop all starts.
+        """
+        return now_s - worker.stated_s <= self.max_entry_age_s + self.entry_lag_s
 
     def record_decision(self, event: str, job: ids.JobId | None, **inputs: Any) -> None:
         """Append a decision for the log.
--- a/tests/control/test_outage.py
+++ b/tests/control/test_outage.py
@@ -107,3 +107,34 @@
     site.kv.put("servers/i-1", b"{}")
     await trio.sleep(0.2)
     assert (seen, failed) == (["servers/i-1"], [])
+
+
+async def test_items_are_read_anew_where_the_changes_of_many_keys_never_arrive_in_time(
+    autojump_clock: MockClock, site: Site, nursery: trio.Nursery
+) -> None:
+    """Guards against a watch that falls behind further with each attempt."""
+    handle, snapshots = site.kv.handle, []
+
+    async def without_watches(req: server.Request) -> server.Response:
+        if req.path == "/kv-watch":
+            await trio.sleep_forever()
+        return await handle(req)
+
+    async def follow() -> None:
+        await prefix.follow(
+            stores.Store(STORE),
+            "servers/",
+            ids.Revision(site.kv.rev),
+            on_change=lambda _: None,
+            on_snapshot=lambda items: snapshots.append([item.key for item in items]),
+            wait_s=1.5,
+            rereads=True,
+        )
+
+    site.network.hosts[STORE] = without_watches
+    site.kv.put("servers/i-1", b"{}")
+    nursery.start_soon(follow)
+    await trio.sleep(3.5)
+    site.kv.put("servers/i-2", b"{}")
+    await trio.sleep(3.5)
+    assert snapshots == [["servers/i-1"], ["servers/i-1", "servers/i-2"]]
--- a/tests/core/test_resize.py
+++ b/tests/core/test_resize.py
@@ -1,9 +1,11 @@
-"""Starts that are withdrawn when the capacity of their worker shrinks."""
+"""Starts on workers whose capacity changes, and on those whose capacity may have changed."""
 
 from __future__ import annotations
 
+import pytest
+
 from bronzequay import ids
-from bronzequay.core import lifecycle, model, resize
+from bronzequay.core import lifecycle, model, resize, schedule
 from bronzequay.core import state as states
 from tests.core import world
 from tests.core.test_schedule import build_state, confirm_starts, run_pass, starts
@@ -53,3 +55,15 @@
     confirm_starts(state, run_pass(state, 0.0))
     assert shrink(state, "w0@1", 2) == []
     assert state.workers[ids.WorkerId("w0@1")].free_gpu == -6
+
+
+@pytest.mark.parametrize(("lag_s", "is_started"), [(0.4, False), (6.0, True)])
+def test_work_starts_while_all_entries_arrive_late(lag_s: float, is_started: bool) -> None:
+    """Guards against a fleet that starts nothing because its many entries arrive late."""
+    state = states.State(world.rules(), max_entry_age_s=4.0)
+    world.add_workers(state, 1)
+    lifecycle.accept(state, world.job(1))
+    (worker,) = state.workers.values()
+    state.now_s, worker.stated_s, state.entry_lag_s = 20.0, 12.0, lag_s
+    schedule.run(state)
+    assert bool(state.commands) == is_started
