Read a limited number of first listings at once

Cause: a new term opened a session with each of 3,000 workers at once. While their first listings were read, the watch of the workers' entries got no turn, and fell behind by many seconds.

Change: a term reads 200 first listings at a time. A worker that does not answer waits its turn only once, so that it does not delay others with each attempt.

--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -27,6 +27,9 @@
 DEFAULT_REMAINING_S = 2.0
 """Time until departure that is assumed of a draining worker whose entry states none: the platform's
 ``drainMs``, for which it stays at least."""
+MAX_FIRST_LISTINGS = 200
+"""First listings that are read at once. A new term reads those of all workers; other calls, the
+watch of their entries above all, must be answered in between."""
 
 _log = structlog.get_logger()
 
@@ -35,12 +38,14 @@
     """Follows the workers' entries and manages their sessions.
 
     :param term: the term that the sessions belong to
+    :ivar first_listings: limits the sessions that read their first listing at the same time
     """
 
     def __init__(self, store: Store, term: Term) -> None:
         self._store = store
         self._term = term
         self._sessions: dict[ids.ExecutorId, session.Session] = {}
+        self.first_listings = trio.CapacityLimiter(MAX_FIRST_LISTINGS)
         self._unanswered_starts: dict[ids.ExecutorId, tuple[model.Start, ...]] = {}
 
     @property
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -167,9 +167,11 @@
         """Renew the run leases and read the listing; before the first listing only read it."""
         client = self.delivery.client
         if not self._has_listing:
-            return await client.hold(
-                last_seen_end=0, deadline_ms=None, wait_s=0.0, timeout_s=CALL_TIMEOUT_S
-            )
+            # A worker that does not answer must not keep others waiting with each attempt.
+            if self._is_unanswered:
+                return await self._read_listing()
+            async with self._term.roster.first_listings:
+                return await self._read_listing()
         # A worker out of contact gets no renewal, so that its leases can expire.
         deadline_ms = self._lease_end_ms() if self.is_in_contact else None
         reply = await client.hold(
@@ -182,6 +184,11 @@
             self._deadline_ms = max(self._deadline_ms, deadline_ms)
         return reply
 
+    async def _read_listing(self) -> workers.Reply:
+        return await self.delivery.client.hold(
+            last_seen_end=0, deadline_ms=None, wait_s=0.0, timeout_s=CALL_TIMEOUT_S
+        )
+
     def _listing_wait_s(self) -> float:
         if self._is_unanswered:
             return 0.0
