--- a/src/bronzequay/policy/explain.py
+++ b/src/bronzequay/policy/explain.py
@@ -2,16 +2,35 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import msgspec
 
+from bronzequay import ids
 from bronzequay.policy import admission, model, ordering, placement, search
 from bronzequay.policy import state as core_state
 
-if TYPE_CHECKING:
-    from bronzequay import ids
 
+class Why(msgspec.Struct, frozen=True):
+    """Explanation of what a job waits for.
 
-def why(state: core_state.State, job: ids.JobId) -> model.Why:
+    :param text: the explanation as one sentence
+    :param held_by: the guarantee, rule or capacity that blocks the job, empty if none does
+    :param ahead: number of waiting jobs that rank before it
+    :param ahead_jobs: the first few of those
+    :param estimate_s: seconds until the last checkpoint deadline among the stopping gangs, or None
+    """
+
+    text: str
+    held_by: str = ""
+    ahead: int = 0
+    ahead_jobs: tuple[ids.JobId, ...] = ()
+    estimate_s: float | None = None
+
+    def __str__(self) -> str:
+        """Return the explanation as one sentence."""
+        return self.text
+
+
+def why(state: core_state.State, job: ids.JobId) -> Why:
     """Explain what a job waits for.
 
     :param state: read only
@@ -21,17 +40,17 @@
     record = state.jobs[job]
     if record.state is model.JobState.INFEASIBLE:
         reason = admission.infeasible_reason(state, core_state.demand_of(record))
-        return model.Why(
+        return Why(
             f"the job can never run: {reason or 'judged before the last change'}", "infeasible"
         )
     if record.state is not model.JobState.ACCEPTED:
-        return model.Why(f"the job is {record.state.value}{_last_detail(record)}")
+        return Why(f"the job is {record.state.value}{_last_detail(record)}")
     count, first_jobs = ordering.jobs_ahead(state.queues, job)
     held_by, estimate_s = _blocker(state, record)
     names = f" (first {', '.join(first_jobs)})" if first_jobs else ""
     estimate = "none" if estimate_s is None else f"within {estimate_s:.0f} s"
     text = f"waits for {held_by}; {count} jobs rank before it{names}; earliest start: {estimate}"
-    return model.Why(text, held_by, count, first_jobs, estimate_s)
+    return Why(text, held_by, count, first_jobs, estimate_s)
 
 
 def _last_detail(record: model.JobRecord) -> str:
@@ -73,4 +92,4 @@
     return f"{size} to come free in {place}"
 
 
-__all__ = ["why"]
+__all__ = ["Why", "why"]
--- a/src/bronzequay/policy/lifecycle.py
+++ b/src/bronzequay/policy/lifecycle.py
@@ -172,6 +172,11 @@
     return ()
 
 
+def attained_by(record: model.JobRecord, member: int) -> float:
+    """Return the run time of a member that checkpoints preserve, in seconds."""
+    return record.attained_s + record.ahead_s.get(member, 0.0)
+
+
 def _add_checkpoints(record: model.JobRecord, event: model.GangStopped) -> None:
     """Add the run time that the checkpoints of an attempt preserve.
 
@@ -262,6 +267,7 @@
 
 
 __all__ = [
+    "attained_by",
     "bind_as_fixed",
     "current_record",
     "drop_reservations_on",
--- a/src/bronzequay/policy/model.py
+++ b/src/bronzequay/policy/model.py
@@ -180,10 +180,6 @@
     seen_mem_gb: int = 0
     ahead_s: dict[int, float] = msgspec.field(default_factory=dict)
 
-    def attained_by(self, member: int) -> float:
-        """Return the run time of a member that checkpoints preserve, in seconds."""
-        return self.attained_s + self.ahead_s.get(member, 0.0)
-
 
 # Events: input of the core.
 
@@ -316,27 +312,6 @@
 # Commands: output of the core, to be carried out once the dirty records are durable.
 
 
-class Why(msgspec.Struct, frozen=True):
-    """Explanation of what a job waits for.
-
-    :param text: the explanation as one sentence
-    :param held_by: the guarantee, rule or capacity that blocks the job, empty if none does
-    :param ahead: number of waiting jobs that rank before it
-    :param ahead_jobs: the first few of those
-    :param estimate_s: seconds until the last checkpoint deadline among the stopping gangs, or None
-    """
-
-    text: str
-    held_by: str = ""
-    ahead: int = 0
-    ahead_jobs: tuple[ids.JobId, ...] = ()
-    estimate_s: float | None = None
-
-    def __str__(self) -> str:
-        """Return the explanation as one sentence."""
-        return self.text
-
-
 class StartGang(msgspec.Struct, frozen=True):
     """Start every member and hold it; none is released before all are held."""
 
@@ -399,7 +374,6 @@
     "Tick",
     "Urgency",
     "UsageReported",
-    "Why",
     "WorkerJoined",
     "WorkerLeaving",
     "WorkerLost",
--- a/src/bronzequay/sched/terms.py
+++ b/src/bronzequay/sched/terms.py
@@ -8,7 +8,7 @@
 import trio
 
 from bronzequay import codes, errors, ids
-from bronzequay.policy import core, model
+from bronzequay.policy import core, lifecycle, model
 from bronzequay.sched import gang, gang_supervisor, jobs, journal, lease
 
 if TYPE_CHECKING:
@@ -245,7 +245,7 @@
             epoch=term.job_journal.epoch,
             is_active=lambda: term.is_active,
             emit=lambda event: _emit(term, event),
-            attained_s=lambda job, member: term.state.jobs[job].attained_by(member),
+            attained_s=lambda job, member: lifecycle.attained_by(term.state.jobs[job], member),
             withhold_renewals=withhold_renewals,
             payload=payload,
         )
