Tests of a suspended scheduler and of a key withdrawn before a restart, on the platform's stack

The table of failures that operators ask about named two that had no test of their own there. The first test fails if a leader lease is trusted until it is known to be lost; the second fails if the configuration is read stale at the start of an instance. Both pass on the code as it is.

--- a/tests/control/test_outage.py
+++ b/tests/control/test_outage.py
@@ -138,3 +138,30 @@
     site.kv.put("servers/i-2", b"{}")
     await trio.sleep(3.5)
     assert snapshots == [["servers/i-1"], ["servers/i-1", "servers/i-2"]]
+
+
+async def test_a_scheduler_suspended_past_its_lease_sends_no_start_before_it_holds_the_lease_again(
+    autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch, site: Site
+) -> None:
+    """Guards against a process that acts on a lease which ran out while it was suspended."""
+    handle, is_renewal_held = site.kv.handle, False
+
+    async def hold_renewals(req: server.Request) -> server.Response:
+        while is_renewal_held and req.path.startswith("/kv-keep"):
+            await trio.sleep(0.1)
+        return await handle(req)
+
+    site.network.hosts[STORE] = hold_renewals
+    site.add_executor(1)
+    site.start_scheduler("a")
+    await site.wait_for(site.submit(), "completed")
+    suspended_s = lease.TTL_S + 1.0
+    monkeypatch.setattr("bronzequay.clock.boot_s", lambda: trio.current_time() + suspended_s)
+    is_renewal_held = True
+    starts = len(site.events("start"))
+    job = site.submit()
+    await trio.sleep(2.0)
+    assert len(site.events("start")) == starts
+    is_renewal_held = False
+    await site.wait_for(job, "completed", timeout_s=20.0)
+    site.check_runs()
--- a/tests/front/test_handler.py
+++ b/tests/front/test_handler.py
@@ -12,11 +12,13 @@
 from bronzequay.control import keys
 from bronzequay.core import model
 from bronzequay.fakes import kv
-from tests.control.site import CONFIG, Site
+from tests.control.site import CONFIG, STORE, Site
 
 if TYPE_CHECKING:
     from trio.testing import MockClock
 
+    from bronzequay.net import server
+
 JOB = "00ff00ff00ff00ff"
 BODY = {"spec": "x", "steps": [{"count": 2, "cpu": 1000, "memMb": 10, "gpu": 1}]}
 
@@ -149,6 +151,30 @@
     assert (await send("GET", f"/q1/{JOB}", None, "key-one")).status == 401
 
 
+async def test_an_instance_that_starts_refuses_a_key_that_was_withdrawn_before(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against a withdrawn key that is accepted again after a restart, from a stale read."""
+    old_item, handle = dict(site.kv.items["op/config"]), site.kv.handle
+
+    async def with_stale_reads(req: server.Request) -> server.Response:
+        new_item = site.kv.items["op/config"]
+        if "serializable" in req.query:
+            site.kv.items["op/config"] = old_item
+        try:
+            return await handle(req)
+        finally:
+            site.kv.items["op/config"] = new_item
+
+    site.configure({**CONFIG, "version": 9, "tenants": [{"name": "one", "apiKeys": ["new"]}]})
+    site.network.hosts[STORE] = with_stale_reads
+    send = await site.start_front("f")
+    for _ in range(5):
+        assert (await send("GET", f"/q1/{JOB}", None, "key-one")).status == 401
+        assert (await send("GET", f"/q1/{JOB}", None, "new")).status == 410
+        await trio.sleep(1.0)
+
+
 async def test_a_configuration_whose_change_was_compacted_before_the_watch_saw_it_is_read(
     autojump_clock: MockClock, site: Site
 ) -> None:
