--- a/src/bronzequay/core/losses.py
+++ b/src/bronzequay/core/losses.py
@@ -148,22 +148,30 @@
     """
     suspects = [task for task in begun if task not in excused]
     starting = [task for task in suspects if _was_starting(task)]
-    for task in begun:
-        task.confirmed_crashes += is_certain and task.is_confirmed
-        state.dirty_jobs.add(task.key.job)
     for task in suspects:
         task.crashes += 1
-    # One excuse only: a task that was just starting is suspected if its next worker crashes too.
-    for task in [task for task in begun if _was_starting(task)] if is_certain else starting:
-        task.fatal_starts += 1
-        state.suspect_steps.add(model.StepKey(*task.key[:3]))
-    if not is_certain:
+        state.dirty_jobs.add(task.key.job)
+    _suspect(state, starting)
+    if is_certain:
+        for task in begun:
+            task.confirmed_crashes += task.is_confirmed
+            state.dirty_jobs.add(task.key.job)
+        # Excused tasks are suspected all the same, so that they are not excused again.
+        _suspect(state, [task for task in excused if _was_starting(task)])
+    else:
         worker.lapsed_tasks = [(task, task in starting) for task in suspects]
     _give_up(state, worker.spec.worker, starting or suspects, is_certain=is_certain)
     if starting:
         _give_up(state, worker.spec.worker, suspects, is_certain=False)
 
 
+def _suspect(state: State, tasks: Iterable[Task]) -> None:
+    """Count a crash at the start of tasks, which from now on start apart from others."""
+    for task in tasks:
+        task.fatal_starts += 1
+        state.suspect_steps.add(model.StepKey(*task.key[:3]))
+
+
 def _give_up(
     state: State, worker: ids.WorkerId, candidates: Sequence[Task], *, is_certain: bool
 ) -> None:
