Count the crashes of a gang over all its members

The first member to begin crashes its worker, which ends the others before they crash theirs. Each run brought down the worker of another member, so that no member had crashed two workers until the sixth run; a larger gang takes more.

Change: a run of a gang at whose start a worker crashed counts for the gang, if only its members can have caused it; after four such runs its job fails. Once a member has survived its start the count begins anew. The record of the job keeps it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -42,24 +42,31 @@
     # SIGTERM raises KeyboardInterrupt, so that a terminated soak also ends its processes.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
-    requested_runs = [(options.seed + number, options.seconds) for number in range(options.seeds)]
-    regression_runs = [(regression.seed, regression.seconds) for regression in seeds.REGRESSIONS]
+    requested_runs = [
+        (options.seed + number, options.seconds, options.hazards) for number in range(options.seeds)
+    ]
+    regression_runs = [
+        (regression.seed, regression.seconds, regression.has_hazards)
+        for regression in seeds.REGRESSIONS
+    ]
     has_breaches = False
-    for seed, seconds in regression_runs if options.regressions else requested_runs:
-        figures = trio.run(_run, seed, seconds, options)
+    for seed, seconds, has_hazards in regression_runs if options.regressions else requested_runs:
+        figures = trio.run(_run, seed, seconds, has_hazards, options)
         has_breaches |= bool(figures.breaches)
         print(msgspec.json.encode(figures).decode() if options.json else _format_figures(figures))
         sys.stdout.flush()
     return int(has_breaches)
 
 
-async def _run(seed: int, seconds: float, options: Soak) -> run.Figures:
+async def _run(  # noqa: FBT001  # trio.run passes arguments by position
+    seed: int, seconds: float, has_hazards: bool, options: Soak
+) -> run.Figures:
     return await run.run(
         seed=seed,
         seconds=seconds,
         entries=options.entries,
         workers=options.workers,
-        has_hazards=options.hazards,
+        has_hazards=has_hazards,
     )
 
 
--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -6,11 +6,15 @@
 
 
 class Regression(msgspec.Struct, frozen=True):
-    """A seed with the length of its fault phase in seconds and the cause of its breach."""
+    """A seed with the length of its fault phase in seconds and the cause of its breach.
+
+    :param has_hazards: whether tasks also crash their workers, and workers shrink
+    """
 
     seed: int
     seconds: float
     cause: str
+    has_hazards: bool = False
 
 
 REGRESSIONS = (
@@ -22,6 +26,9 @@
         "a start was accepted by the next incarnation of its worker before that one was known",
     ),
     Regression(208, 25.0, "a start in flight at the end of an incarnation reached the next one"),
+    Regression(
+        406, 20.0, "the members of a gang crashed one worker each, six in a row", has_hazards=True
+    ),
 )
 
 __all__ = ["REGRESSIONS", "Regression"]
--- a/src/bronzequay/core/losses.py
+++ b/src/bronzequay/core/losses.py
@@ -130,6 +130,7 @@
     for task in worker.tasks.values():
         if task.fatal_starts and isolate.is_past_start(task):
             task.fatal_starts = 0
+            _clear_gang(state, task)
             state.dirty_jobs.add(task.key.job)
         if task.crashes and state.now_s - task.started_s > SERVICE_MEMORY_S:
             step = state.step_of(task.key)
@@ -153,6 +154,7 @@
         state.dirty_jobs.add(task.key.job)
     _suspect(state, starting)
     if is_certain:
+        _count_for_gang(state, starting)
         for task in begun:
             task.confirmed_crashes += task.is_confirmed
             state.dirty_jobs.add(task.key.job)
@@ -165,6 +167,25 @@
         _give_up(state, worker.spec.worker, suspects, is_certain=False)
 
 
+def _count_for_gang(state: State, starting: Sequence[Task]) -> None:
+    """Count a crash for a gang, once a run, if only its members can have caused it.
+
+    Each run may crash the worker of another member, which then ends the others.
+    """
+    if len({task.key[:3] for task in starting}) != 1 or not starting[0].is_confirmed:
+        return
+    step, run = state.step_of(starting[0].key), starting[0].run
+    if step is not None and step.spec.is_gang and step.crashed_run != run:
+        step.crashed_run = run
+        step.crashes += 1
+
+
+def _clear_gang(state: State, task: Task) -> None:
+    step = state.step_of(task.key)
+    if step is not None:
+        step.crashes = 0
+
+
 def _suspect(state: State, tasks: Iterable[Task]) -> None:
     """Count a crash at the start of tasks, which from now on start apart from others."""
     for task in tasks:
@@ -185,20 +206,18 @@
         step = state.step_of(task.key)
         if step is None or step.is_done or step.job.is_final:
             continue
-        if (
-            task.confirmed_crashes < MIN_CONFIRMED_CRASHES
-            and task.crashes < MAX_UNCONFIRMED_CRASHES
-        ):
-            continue
+        subject = f"task {task.key.number} of step {task.key.step}"
         is_identified = is_certain and is_only_step and task.is_confirmed
-        if is_identified and task.fatal_starts >= MIN_FATAL_STARTS:
-            what = f"crashed its worker at {task.fatal_starts} starts"
-        elif task.crashes >= MAX_CRASHES:
-            what = f"was on {task.crashes} workers as they crashed"
+        is_confirmed = task.confirmed_crashes >= MIN_CONFIRMED_CRASHES
+        if is_identified and is_confirmed and task.fatal_starts >= MIN_FATAL_STARTS:
+            what = f"{subject} crashed its worker at {task.fatal_starts} starts"
+        elif is_identified and step.crashes >= MAX_CRASHES:
+            what = f"the gang of step {task.key.step} crashed workers at {step.crashes} starts"
+        elif task.crashes >= (MAX_CRASHES if is_confirmed else MAX_UNCONFIRMED_CRASHES):
+            what = f"{subject} was on {task.crashes} workers as they crashed"
         else:
             continue
-        subject = f"task {task.key.number} of step {task.key.step}"
-        reason = f"{subject} {what}, last on {worker}"
+        reason = f"{what}, last on {worker}"
         lifecycle.end_job(state, step.job, model.JobState.FAILED, reason)
 
 
--- a/src/bronzequay/core/records.py
+++ b/src/bronzequay/core/records.py
@@ -42,6 +42,8 @@
     failures: int
     failed_run: int
     tasks: list[TaskRecord] = []
+    crashes: int = 0
+    crashed_run: int = 0
 
 
 class JobRecord(msgspec.Struct, array_like=True):
@@ -81,7 +83,14 @@
         if task.run and (not step.is_done or task.worker is not None)
     ]
     return StepRecord(
-        step.occurrence, step.number, step.is_done, step.failures, step.failed_run, tasks
+        step.occurrence,
+        step.number,
+        step.is_done,
+        step.failures,
+        step.failed_run,
+        tasks,
+        step.crashes,
+        step.crashed_run,
     )
 
 
@@ -151,6 +160,7 @@
     step.is_done = record.is_done
     step.failures = record.failures
     step.failed_run = record.failed_run
+    step.crashes, step.crashed_run = record.crashes, record.crashed_run
     if step.is_done:
         for task in step.tasks:
             task.phase = model.Phase.DONE
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -120,6 +120,8 @@
     :ivar is_done: all tasks are done; one done member completes a gang
     :ivar failures: failed runs of a gang
     :ivar failed_run: last run of the gang that was counted as failed
+    :ivar crashes: runs of a gang whose members crashed workers at their starts; 0 once one has not
+    :ivar crashed_run: last of them
     :ivar failed_machines: machines on which a task has failed
     :ivar next_reservation_s: earliest time of the next search for room
     :ivar tickets: tickets by worker, where the queue requires them
@@ -140,6 +142,7 @@
         self.tasks = [Task(key) for key in keys]
         self.failures = 0
         self.failed_run = 0
+        self.crashes = self.crashed_run = 0
         self.is_done = False
         self.ready_s: float | None = None
         self.failed_machines: set[str] = set()
--- a/tests/core/test_losses.py
+++ b/tests/core/test_losses.py
@@ -189,6 +189,41 @@
     assert [job.state for job in state.retired_jobs] == [model.JobState.FAILED]
 
 
+def test_a_gang_whose_members_crash_workers_in_turn_is_given_up_after_four_runs() -> None:
+    """Guards against a gang that crashes as many workers as it has members, and more."""
+    state = build_state(8)
+    accept(state, 1, step=world.step(6, gpu=8, estimate_s=10.0, is_gang=True))
+    for number in range(4):
+        assert not state.retired_jobs
+        now_s = 4.0 * number
+        started = [start for starts in start_all(state, now_s).values() for start in starts]
+        for start in started:
+            if start.key.number != number:
+                lifecycle.end_run(state, start.worker, start.key, start.run, model.End.BROKEN)
+        (deadly,) = [start for start in started if start.key.number == number]
+        crash(state, deadly.worker, now_s + 3.0)
+    (failed,) = state.retired_jobs
+    assert failed.reason.startswith("the gang of step 0 crashed workers at 4 starts")
+
+
+def test_crashes_of_a_gang_are_forgotten_once_a_member_survives_its_start() -> None:
+    state = build_state(8)
+    accept(state, 1, step=world.step(2, gpu=8, estimate_s=100.0, is_gang=True))
+    (name, other) = start_all(state, 0.0)
+    crash(state, name, 3.0)
+    (job,) = state.jobs.values()
+    member = next(task for task in job.occurrences[0].steps[0].tasks if task.worker == other)
+    lifecycle.end_run(state, ids.WorkerId(other), member.key, 1, model.End.BROKEN)
+    restored = build_state(8)
+    records.restore(restored, job.spec, records.encode(job))
+    step = next(iter(restored.jobs.values())).occurrences[0].steps[0]
+    assert (step.crashes, step.crashed_run) == (1, 1)
+    for worker in start_all(restored, 4.0):
+        list_runs(restored, worker, 4.1)
+        list_runs(restored, worker, 9.0)
+    assert step.crashes == 0
+
+
 def test_a_gang_with_a_suspect_shares_no_worker_with_other_starting_tasks() -> None:
     state = build_state(3)
     accept(state, 1, step=world.step(2, gpu=4, estimate_s=10.0, is_gang=True))
