--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import signal
 import sys
 from typing import Annotated
@@ -51,16 +52,14 @@
     ]
     has_breaches = False
     for seed, seconds, has_hazards in regression_runs if options.regressions else requested_runs:
-        figures = trio.run(_run, seed, seconds, has_hazards, options)
+        figures = trio.run(functools.partial(_run, seed, seconds, options, has_hazards=has_hazards))
         has_breaches |= bool(figures.breaches)
         print(msgspec.json.encode(figures).decode() if options.json else _format_figures(figures))
         sys.stdout.flush()
     return int(has_breaches)
 
 
-async def _run(  # noqa: FBT001  # trio.run passes arguments by position
-    seed: int, seconds: float, has_hazards: bool, options: Soak
-) -> run.Figures:
+async def _run(seed: int, seconds: float, options: Soak, *, has_hazards: bool) -> run.Figures:
     return await run.run(
         seed=seed,
         seconds=seconds,
