--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -84,24 +84,30 @@
         self._on_change(items)
 
     def _on_change(self, items: tuple[Item, ...]) -> None:
-        stated_s = [self._on_item(item) for item in items]
-        newest_s = max(stated_s, default=float("-inf"))
-        if math.isfinite(newest_s):
-            lag_s = trio.current_time() - newest_s
+        for item in items:
+            self._on_item(item)
+        self._post_entry_lag(items)
+
+    def _post_entry_lag(self, items: tuple[Item, ...]) -> None:
+        """Measure how late entries arrive, by the newest among those that have just arrived."""
+        executors = [workers.executor_from_key(item.key) for item in items if item.value]
+        stated_s = [self._sessions[name].stated_s for name in executors if name in self._sessions]
+        known_s = [time_s for time_s in stated_s if math.isfinite(time_s)]
+        if known_s:
+            lag_s = trio.current_time() - max(known_s)
             self._term.post(lambda state: _set_entry_lag(state, lag_s))
 
-    def _on_item(self, item: Item) -> float:
-        """Apply a changed entry; return when the worker wrote it, minus infinity if unknown."""
+    def _on_item(self, item: Item) -> None:
         executor = workers.executor_from_key(item.key)
         entry = None if item.value is None else workers.decode_entry(item.key, item.value)
         if entry is not None:
-            return self._on_entry(entry)
+            self._on_entry(entry)
+            return
         if item.value is not None:
             _log.warning("entry_unreadable", executor=executor, revision=item.rev)
         self._on_unlisted(executor)
-        return float("-inf")
 
-    def _on_entry(self, entry: workers.ExecutorEntry) -> float:
+    def _on_entry(self, entry: workers.ExecutorEntry) -> None:
         current = self._sessions.get(entry.executor)
         if current is not None and current.worker != entry.spec.worker:
             self.end_session(current, session.Ending.RESTARTED)
@@ -113,13 +119,12 @@
             _log.info("worker_joined", worker=current.worker, barred=len(barred))
             self._term.post(lambda state: _add_worker(state, entry))
             self._nursery.start_soon(current.run)
-            return float("-inf")
+            return
         if current.entry.is_draining != entry.is_draining or not current.is_listed:
             _log.info("worker_changed", worker=current.worker, is_draining=entry.is_draining)
         current.entry, current.is_listed = entry, True
         stated_s = current.stated_s
         self._term.post(lambda state: _update_worker(state, entry, stated_s))
-        return stated_s if math.isfinite(stated_s) else float("-inf")
 
     def _on_unlisted(self, executor: ids.ExecutorId) -> None:
         """Stop placing work on a worker that the store no longer lists."""
