Review case 3: two failing services keep gangs from starting anywhere

An executor is paused for up to 40 s once two different jobs have failed on it. Two lasting tasks that fail after each start go round the fleet and keep all executors paused, so that a gang of four never starts while the whole fleet is idle.

The earlier cases 3 and 4 become 4 and 5.

Disruption: two of the accepted tasks fail 0.3 s after each start.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 cd "$here/../.." || exit 2
 [ -d target/deps ] && [ -d target/review/standins ] || exit 2
 export PYTHONPATH=target/deps:target/review
-exec python3 -m standins.upgrade_offer "$here/record.txt"
+exec python3 -m standins.rack_gang "$here/record.txt"
