--- a/review/standins/rack_gang.py
+++ b/review/standins/rack_gang.py
@@ -44,6 +44,9 @@
             await trio.sleep(0.1)
     await trio.sleep(1.0)
     site_.record.write(f"service: {site_.runs_of(SERVICE)}")
+    racks = {site_.world.executors[name].labels[-1] for name, *_ in site_.runs_of(SERVICE)}
+    if len(racks) != (RACKS if site.has_trouble() else 1):
+        raise RuntimeError(f"the service is on the racks {racks}")
     await _submit(site_, GANG, [GANG_STEP], GANG_PLAN)
     await trio.sleep(FINISH_S)
     with trio.move_on_after(IDLE_S):
