--- a/review/standins/rack_gang.py
+++ b/review/standins/rack_gang.py
@@ -16,16 +16,19 @@
 RACKS = WORKERS // PER_RACK
 SERVICE = "00000000000000f0"
 GANG = "00000000000000f1"
-GANG_PLAN = {"run_s": 1.0, "gpu": GPUS, "gang": PER_RACK}
-GANG_STEP = {
-    "count": PER_RACK,
-    "cpu": 13000,
-    "memMb": 1024,
-    "gpu": GPUS,
-    "estimateMs": 1000,
-    "gang": True,
-    "sameRack": True,
-}
+SERVICE_STEPS = [
+    {
+        "count": 1,
+        "cpu": 1000,
+        "memMb": 256,
+        "gpu": 1,
+        "estimateMs": 60000,
+        "longRunning": True,
+        "affinity": f"r{rack}",
+    }
+    for rack in range(RACKS)
+]
+"""One lasting task near its data on every rack."""
 SETTLED_S = 5.0
 """Time after the start in which the scheduler gets to know all executors."""
 FINISH_S = 14.0
@@ -38,16 +41,18 @@
     """Submit the service, then the gang; the gang must be running or done in the end."""
     await site_.start(instances=3, workers=WORKERS, per_rack=PER_RACK)
     await trio.sleep(SETTLED_S)
-    await _submit(site_, SERVICE, _service_steps(), {"lasts": True, "gpu": 1})
+    await _submit(site_, SERVICE, SERVICE_STEPS, {"lasts": True, "gpu": 1})
     with trio.fail_after(10.0):
         while len(site_.runs_of(SERVICE)) < RACKS:  # noqa: ASYNC110
             await trio.sleep(0.1)
     await trio.sleep(1.0)
     site_.record.write(f"service: {site_.runs_of(SERVICE)}")
     racks = {site_.world.executors[name].labels[-1] for name, *_ in site_.runs_of(SERVICE)}
-    if len(racks) != (RACKS if site.has_trouble() else 1):
+    if len(racks) != RACKS:
         raise RuntimeError(f"the service is on the racks {racks}")
-    await _submit(site_, GANG, [GANG_STEP], GANG_PLAN)
+    members = PER_RACK if site.has_trouble() else PER_RACK - 1
+    gang_plan = {"run_s": 1.0, "gpu": GPUS, "gang": members}
+    await _submit(site_, GANG, [_gang_step(members)], gang_plan)
     await trio.sleep(FINISH_S)
     with trio.move_on_after(IDLE_S):
         while not site_.runs_of(GANG):
@@ -61,20 +66,16 @@
     return False
 
 
-def _service_steps() -> list[dict[str, Any]]:
-    """Return steps of one lasting task each: near data on every rack, or all near one rack."""
-    return [
-        {
-            "count": 1,
-            "cpu": 1000,
-            "memMb": 256,
-            "gpu": 1,
-            "estimateMs": 60000,
-            "longRunning": True,
-            "affinity": f"r{rack if site.has_trouble() else 0}",
-        }
-        for rack in range(RACKS)
-    ]
+def _gang_step(members: int) -> dict[str, Any]:
+    return {
+        "count": members,
+        "cpu": 13000,
+        "memMb": 1024,
+        "gpu": GPUS,
+        "estimateMs": 1000,
+        "gang": True,
+        "sameRack": True,
+    }
 
 
 async def _submit(site_: Site, job: str, steps: list[dict[str, Any]], plan: dict[str, Any]) -> None:
--- a/review/standins/site.py
+++ b/review/standins/site.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import secrets
 import shutil
 import socket
 import subprocess
@@ -39,6 +40,8 @@
 START_TIMEOUT_S = 20.0
 DEADLINE_MS = 3000
 """Time budget of every kind of request in the site files."""
+FIRST_PORT, PORTS = 20_000, 12_000
+"""Ports of the stand-ins and instances; the kernel gives outgoing connections higher ones."""
 HOST = "review.example"
 KEY = "key-one"
 HEADERS = (f"Host: {HOST}", f"Authorization: Bearer {KEY}", f"Deadline-Ms: {DEADLINE_MS}")
@@ -74,17 +77,27 @@
 """
 
 
+_used_ports: set[int] = set()
+
+
 def has_trouble() -> bool:
     """Return whether the disruption is to be made, which ``TROUBLE=0`` turns off."""
     return os.environ.get("TROUBLE", "1") != "0"
 
 
 def free_port() -> int:
-    """Return a free port on loopback."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """Return a free port on loopback, outside the range of outgoing connections."""
+    while True:
+        port = FIRST_PORT + secrets.randbelow(PORTS)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _used_ports:
+            _used_ports.add(port)
+            return port
 
 
 async def exchange(port: int, data: bytes) -> list[tuple[int, bytes]]:
