--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -9,7 +9,7 @@
 
 from bronzequay import codes, errors
 from bronzequay.core import advice, lifecycle, model, pacing
-from bronzequay.platform import workers
+from bronzequay.platform import executor_entries, workers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -50,7 +50,7 @@
 
     def __init__(
         self,
-        entry: workers.ExecutorEntry,
+        entry: executor_entries.ExecutorEntry,
         term: Term,
         *,
         deadline_ms: Callable[[], float],
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -11,7 +11,7 @@
 
 from bronzequay.control import delivery, prefix, session
 from bronzequay.core import lifecycle, losses, model, resize, rollout
-from bronzequay.platform import workers
+from bronzequay.platform import executor_entries
 
 if TYPE_CHECKING:
     from bronzequay import ids
@@ -56,7 +56,7 @@
 
     def dispatch(self, command: model.Command) -> None:
         """Pass an order to its worker's session; drop it if that incarnation has ended."""
-        current = self._sessions.get(workers.executor_of(command.worker))
+        current = self._sessions.get(executor_entries.executor_of(command.worker))
         if current is not None and current.worker == command.worker:
             current.delivery.enqueue(command)
 
@@ -64,11 +64,11 @@
         """Open a session for each worker and follow the entries until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            snapshot = await prefix.read_with_retries(self._store, workers.PREFIX)
+            snapshot = await prefix.read_with_retries(self._store, executor_entries.PREFIX)
             self._on_snapshot(snapshot.items)
             await prefix.follow(
                 self._store,
-                workers.PREFIX,
+                executor_entries.PREFIX,
                 snapshot.rev,
                 on_change=self._on_change,
                 on_snapshot=self._on_snapshot,
@@ -78,7 +78,7 @@
             )
 
     def _on_snapshot(self, items: tuple[Item, ...]) -> None:
-        listed = {workers.executor_from_key(item.key) for item in items}
+        listed = {executor_entries.executor_from_key(item.key) for item in items}
         for executor in set(self._sessions) - listed:
             self._on_unlisted(executor)
         self._on_change(items)
@@ -90,7 +90,7 @@
 
     def _post_entry_lag(self, items: tuple[Item, ...]) -> None:
         """Measure how late entries arrive, by the newest among those that have just arrived."""
-        executors = [workers.executor_from_key(item.key) for item in items if item.value]
+        executors = [executor_entries.executor_from_key(item.key) for item in items if item.value]
         stated_s = [self._sessions[name].stated_s for name in executors if name in self._sessions]
         known_s = [time_s for time_s in stated_s if math.isfinite(time_s)]
         if known_s:
@@ -98,8 +98,8 @@
             self._term.post(lambda state: _set_entry_lag(state, lag_s))
 
     def _on_item(self, item: Item) -> None:
-        executor = workers.executor_from_key(item.key)
-        entry = None if item.value is None else workers.decode_entry(item.key, item.value)
+        executor = executor_entries.executor_from_key(item.key)
+        entry = None if item.value is None else executor_entries.decode(item.key, item.value)
         if entry is not None:
             self._on_entry(entry)
             return
@@ -107,7 +107,7 @@
             _log.warning("entry_unreadable", executor=executor, revision=item.rev)
         self._on_unlisted(executor)
 
-    def _on_entry(self, entry: workers.ExecutorEntry) -> None:
+    def _on_entry(self, entry: executor_entries.ExecutorEntry) -> None:
         current = self._sessions.get(entry.executor)
         if current is not None and current.worker != entry.spec.worker:
             self.end_session(current, session.Ending.RESTARTED)
@@ -172,7 +172,7 @@
             self._term.post(functools.partial(delivery.end_as_lost, start=start))
 
 
-def _add_worker(state: State, entry: workers.ExecutorEntry) -> None:
+def _add_worker(state: State, entry: executor_entries.ExecutorEntry) -> None:
     worker = lifecycle.add_worker(state, entry.spec)
     _update_worker(state, entry, worker.stated_s)
 
@@ -194,7 +194,7 @@
     lifecycle.remove_worker(state, worker_id, barred)
 
 
-def _update_worker(state: State, entry: workers.ExecutorEntry, stated_s: float) -> None:
+def _update_worker(state: State, entry: executor_entries.ExecutorEntry, stated_s: float) -> None:
     worker = state.workers.get(entry.spec.worker)
     if worker is None:
         return
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -11,7 +11,7 @@
 from bronzequay import clock, codes, errors
 from bronzequay.control import delivery
 from bronzequay.core import evacuate, health, lifecycle, losses, model, pacing
-from bronzequay.platform import workers
+from bronzequay.platform import executor_entries, workers
 
 if TYPE_CHECKING:
     from bronzequay.control.term import Term
@@ -65,7 +65,10 @@
     """
 
     def __init__(
-        self, entry: workers.ExecutorEntry, term: Term, barred: tuple[model.Start, ...] = ()
+        self,
+        entry: executor_entries.ExecutorEntry,
+        term: Term,
+        barred: tuple[model.Start, ...] = (),
     ) -> None:
         self.entry = entry
         self.worker = entry.spec.worker
@@ -160,7 +163,8 @@
     def _is_same_incarnation(self, listing: workers.Listing) -> bool:
         started_ms = listing.started_ms
         return (
-            started_ms is None or workers.worker_id(self.entry.executor, started_ms) == self.worker
+            started_ms is None
+            or executor_entries.worker_id(self.entry.executor, started_ms) == self.worker
         )
 
     async def _hold(self) -> workers.Reply:
--- a/src/bronzequay/net/client.py
+++ b/src/bronzequay/net/client.py
@@ -10,6 +10,8 @@
 import msgspec
 import trio
 
+from bronzequay.net import address
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -126,13 +128,13 @@
 
     A new connection is opened when no idle one is usable.
 
-    :param address: ``IP:PORT``
+    :param peer: its address, ``IP:PORT``
+    :raises ValueError: when it is not an address
     """
 
-    def __init__(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        self.address = address
-        self._host, self._port = host, int(port)
+    def __init__(self, peer: str) -> None:
+        self._host, self._port = address.parse(peer)
+        self.address = peer
         self._idle: list[Connection] = []
 
     async def request(
--- a/src/bronzequay/platform/advisory.py
+++ b/src/bronzequay/platform/advisory.py
@@ -8,7 +8,7 @@
 
 from bronzequay import figures, ids
 from bronzequay.net import client
-from bronzequay.platform import workers
+from bronzequay.platform import executor_entries, workers
 
 if TYPE_CHECKING:
     from bronzequay.core import model
@@ -48,7 +48,7 @@
 
         :return: the tickets of these workers, None without a usable answer
         """
-        by_executor = {workers.executor_of(worker): worker for worker in query.workers}
+        by_executor = {executor_entries.executor_of(worker): worker for worker in query.workers}
         body = msgspec.json.encode(
             {"step": workers.step_name(query.step), "workers": list(by_executor)}
         )
--- a/src/bronzequay/platform/settings.py
+++ b/src/bronzequay/platform/settings.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bronzequay import codes, errors, ids
+from bronzequay.net import address
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -121,8 +122,8 @@
         callers_address=get("listen.front", _address),
         ready_address=get("listen.ready", _address),
         store_address=get("platform.addr", _address),
-        machines_address=get("cloud.addr", str, ""),
-        advice_address=get("advice", str, ""),
+        machines_address=get("cloud.addr", _address_or_empty, ""),
+        advice_address=get("advice", _address_or_empty, ""),
         # cpuShare is the share of one core that is limits.cores times as fast as the reference.
         cores=get("limits.cpuShare", float, "1") * get("limits.cores", float, "1"),
         min_lease_s=get("platform.ttlMinMs", _ms, "1000"),
@@ -173,12 +174,14 @@
 
 
 def _address(value: str) -> str:
-    host, _, port = value.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError("must be IP:PORT")
+    address.parse(value)
     return value
 
 
+def _address_or_empty(value: str) -> str:
+    return _address(value) if value else ""
+
+
 def _first_port(value: str) -> int:
     return int(value.partition(",")[0])
 
--- a/src/bronzequay/platform/workers.py
+++ b/src/bronzequay/platform/workers.py
@@ -1,8 +1,4 @@
-"""Decoding of the executors' entries in the store, and the client that sends them orders.
-
-An executor may restart under the same id. A worker is one incarnation of an executor, named by
-the executor's id and the incarnation's start time.
-"""
+"""Client that sends orders to executors, and the decoding of their answers."""
 
 from __future__ import annotations
 
@@ -18,47 +14,10 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-PREFIX = "servers/"
 ENDS_BY_NAME = {end.value: end for end in model.End if end.value not in ("never_ran", "lost")}
 """Ends that a worker reports; the scheduler itself concludes that a run never ran or was lost."""
 
 
-class ExecutorEntry(msgspec.Struct, frozen=True):
-    """An executor's entry in the store.
-
-    :param executor: its id, which stays the same over restarts
-    :param address: ``IP:PORT``
-    :param is_draining: whether it accepts no new tasks and is about to leave
-    :param remaining_s: shortest time until a draining executor leaves, None when not stated
-    :param clock_ms: the executor's clock when it wrote the entry, None when not stated
-    """
-
-    executor: ids.ExecutorId
-    address: str
-    spec: model.WorkerSpec
-    is_draining: bool
-    remaining_s: float | None
-    clock_ms: float | None
-
-
-class _Capacity(msgspec.Struct, rename="camel"):
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
-
-
-class _Entry(msgspec.Struct, rename="camel"):
-    service: str
-    addr: str
-    state: str
-    capacity: _Capacity
-    labels: list[str] = []
-    born: int = 0
-    machine: str = ""
-    remaining_ms: float | None = None
-    clock_ms: float | None = None
-
-
 class Outcome(enum.Enum):
     """Known outcome of an order, with or without an answer."""
 
@@ -157,48 +116,6 @@
     ended: list[list[Any]] = []
 
 
-def worker_id(executor: ids.ExecutorId, started_ms: int) -> ids.WorkerId:
-    """Return the id of one incarnation of an executor.
-
-    :param started_ms: its start time, in milliseconds
-    """
-    return ids.WorkerId(f"{executor}@{started_ms}")
-
-
-def executor_of(worker: ids.WorkerId) -> ids.ExecutorId:
-    """Return the id of the executor that a worker is an incarnation of."""
-    return ids.ExecutorId(worker.rpartition("@")[0])
-
-
-def executor_from_key(key: str) -> ids.ExecutorId:
-    """Return the executor's id from the key of its entry."""
-    return ids.ExecutorId(key[len(PREFIX) :])
-
-
-def decode_entry(key: str, value: bytes) -> ExecutorEntry | None:
-    """Decode an executor's entry; None when it is malformed or not a usable executor."""
-    try:
-        wire = msgspec.json.decode(value, type=_Entry)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
-    if wire.state not in ("ready", "draining") or ":" not in wire.addr:
-        return None
-    executor = executor_from_key(key)
-    spec = model.WorkerSpec(
-        worker=worker_id(executor, wire.born),
-        service=ids.ServiceId(wire.service),
-        capacity=model.Resources(wire.capacity.cpu, wire.capacity.mem_mb, wire.capacity.gpu),
-        labels=tuple(wire.labels),
-        # The labels are the kind of machine, then the rack.
-        rack=wire.labels[-1] if len(wire.labels) > 1 else "",
-        machine=ids.MachineId(wire.machine or executor),
-        started_s=wire.born / 1000,
-    )
-    remaining_s = None if wire.remaining_ms is None else wire.remaining_ms / 1000
-    is_draining = wire.state == "draining"
-    return ExecutorEntry(executor, wire.addr, spec, is_draining, remaining_s, wire.clock_ms)
-
-
 def task_name(key: model.TaskKey) -> str:
     """Encode a task's name."""
     return f"{key.job}.{key.occurrence}.{key.step}.{key.number}"
@@ -362,19 +279,13 @@
 
 
 __all__ = [
-    "PREFIX",
     "ActiveRun",
     "EndedRun",
-    "ExecutorEntry",
     "Listing",
     "OrderClient",
     "Outcome",
     "Reply",
-    "decode_entry",
     "decode_task",
-    "executor_from_key",
-    "executor_of",
     "step_name",
     "task_name",
-    "worker_id",
 ]
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -48,7 +48,12 @@
 
 
 @pytest.mark.parametrize(
-    ("line", "value"), [("listen.front=10.0.0.1:80", "here"), ("limits.cores=2", "many")]
+    ("line", "value"),
+    [
+        ("listen.front=10.0.0.1:80", "here"),
+        ("platform.addr=10.0.0.9:90", "10.0.0.9:99999"),
+        ("limits.cores=2", "many"),
+    ],
 )
 def test_an_error_names_the_setting_with_an_invalid_value(line: str, value: str) -> None:
     name = line.partition("=")[0]
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -12,7 +12,7 @@
 from bronzequay import ids
 from bronzequay.core import model
 from bronzequay.net import client
-from bronzequay.platform import workers
+from bronzequay.platform import executor_entries, workers
 
 ENTRY = {
     "service": "s",
@@ -29,7 +29,7 @@
 
 
 def test_an_entry_is_decoded() -> None:
-    entry = workers.decode_entry("servers/i-1", json.dumps(ENTRY).encode())
+    entry = executor_entries.decode("servers/i-1", json.dumps(ENTRY).encode())
     assert entry is not None
     assert entry.spec == model.WorkerSpec(
         worker=ids.WorkerId("i-1@5"),
@@ -41,7 +41,7 @@
         started_s=0.005,
     )
     assert (entry.is_draining, entry.remaining_s) == (True, 1.5)
-    assert workers.executor_of(entry.spec.worker) == "i-1"
+    assert executor_entries.executor_of(entry.spec.worker) == "i-1"
 
 
 @pytest.mark.parametrize(
@@ -49,12 +49,12 @@
     [{"state": "odd"}, {"addr": "nowhere"}, {"capacity": None}, {"labels": 3}, {"service": 1}],
 )
 def test_a_malformed_entry_is_decoded_to_none(change: dict[str, Any]) -> None:
-    assert workers.decode_entry("servers/x", json.dumps({**ENTRY, **change}).encode()) is None
+    assert executor_entries.decode("servers/x", json.dumps({**ENTRY, **change}).encode()) is None
 
 
 @hypothesis.given(st.binary(max_size=60))
 def test_arbitrary_bytes_are_decoded_to_none(value: bytes) -> None:
-    assert workers.decode_entry("servers/x", value) is None
+    assert executor_entries.decode("servers/x", value) is None
 
 
 def test_task_names_are_encoded_and_decoded() -> None:
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -8,7 +8,7 @@
 import pytest
 
 SOURCE = pathlib.Path(__file__).parent.parent / "src" / "bronzequay"
-BASE_MODULES = frozenset({"ids", "codes", "errors", "clock", "figures"})
+BASE_MODULES = frozenset({"ids", "codec", "codes", "errors", "clock", "figures"})
 ALLOWED_IMPORTS: dict[str, frozenset[str]] = {
     "policy": frozenset(),
     "store": frozenset(),
