Decode answers from outside into valid values or declared errors

Change: rows of listings are typed, task names are matched, amounts lie between 0 and 2**53, and `kv_wire` decodes the store's answers; whatever is wrong, an executor's answer is UNKNOWN, a store's STORE_TIMEOUT, advice none, a wave none. A listing with one bad row is none as a whole: leaving out the row would say that its run is not there.

--- a/src/bronzequay/platform/advisory.py
+++ b/src/bronzequay/platform/advisory.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bronzequay import figures, ids
+from bronzequay import codec, figures, ids
 from bronzequay.net import client
 from bronzequay.platform import executor_entries, workers
 
@@ -29,7 +29,7 @@
 
 class _Answer(msgspec.Struct, rename="camel"):
     good: list[tuple[str, str]]
-    valid_ms: float
+    valid_ms: codec.Amount
 
 
 class AdviceClient:
@@ -61,8 +61,8 @@
         if resp.status != HTTP_OK:
             return None
         try:
-            answer = msgspec.json.decode(resp.body, type=_Answer)
-        except msgspec.MsgspecError:
+            answer = codec.from_json(resp.body, _Answer)
+        except msgspec.DecodeError:
             figures.count('advice_calls{outcome="unreadable"}')
             return None
         tickets = {
--- a/src/bronzequay/platform/config.py
+++ b/src/bronzequay/platform/config.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bronzequay import codes, errors, ids
+from bronzequay import codec, codes, errors, ids
 from bronzequay.core import model
 
 KEY = "op/config"
@@ -94,8 +94,8 @@
     :raises errors.BronzequayError: BUNDLE_INVALID when it cannot be decoded
     """
     try:
-        wire = msgspec.json.decode(value, type=_Config)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        wire = codec.from_json(value, _Config)
+    except msgspec.DecodeError as exc:
         raise errors.BronzequayError(
             codes.ResultCode.BUNDLE_INVALID, f"cannot decode the configuration: {exc}"
         ) from exc
--- a/src/bronzequay/platform/ingress.py
+++ b/src/bronzequay/platform/ingress.py
@@ -6,11 +6,9 @@
 
 import msgspec
 
-from bronzequay import codes, errors, ids
+from bronzequay import codec, codes, errors, ids
 from bronzequay.core import model
 
-MAX_NUMBER = 2**53
-"""Largest amount or time in milliseconds, the limit up to which JSON numbers are exact."""
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 
 
@@ -72,8 +70,8 @@
     :raises errors.BronzequayError: MALFORMED_BODY or VALUE_OUT_OF_RANGE
     """
     try:
-        wire = msgspec.json.decode(body, type=_Job)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        wire = codec.from_json(body, _Job)
+    except msgspec.DecodeError as exc:
         raise errors.BronzequayError(codes.ResultCode.MALFORMED_BODY, str(exc)) from exc
     _validate(wire)
     return model.JobSpec(
@@ -150,8 +148,8 @@
 def _check_numbers(field: str, *numbers: float) -> None:
     if min(numbers) < 0:
         raise _out_of_range("must not be negative", field)
-    if max(numbers) > MAX_NUMBER:
-        raise _out_of_range(f"must not exceed {MAX_NUMBER}", field)
+    if max(numbers) > codec.MAX_NUMBER:
+        raise _out_of_range(f"must not exceed {codec.MAX_NUMBER}", field)
 
 
 def _out_of_range(message: str, field: str) -> errors.BronzequayError:
--- a/src/bronzequay/platform/kv.py
+++ b/src/bronzequay/platform/kv.py
@@ -4,20 +4,18 @@
 
 import base64
 import urllib.parse
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import trio
 
 from bronzequay import codes, errors, figures, ids
 from bronzequay.net import client
-from bronzequay.platform import store_contact
+from bronzequay.platform import kv_wire, store_contact
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-T = TypeVar("T")
-
 CALL_TIMEOUT_S = 1.5
 """An answer usually takes 4 ms, and about 250 ms when the store is slow."""
 FIRST_TIMEOUT_S = 0.4
@@ -94,38 +92,6 @@
     ttl_s: float
 
 
-class _Item(msgspec.Struct):
-    key: str
-    revision: int
-    value: str = ""
-    deleted: bool = False
-    at: int = 0
-
-
-class _Range(msgspec.Struct):
-    items: list[_Item]
-    at: int
-    hasMore: bool = False  # noqa: N815  # the wire's name
-
-
-class _Events(msgspec.Struct):
-    events: list[_Item]
-    at: int
-
-
-class _Committed(msgspec.Struct):
-    revision: int
-
-
-class _ConflictItems(msgspec.Struct):
-    items: list[_Item] = []
-
-
-class _Lease(msgspec.Struct):
-    lease: int
-    ttlMs: float  # noqa: N815  # the wire's name
-
-
 class Conflict(errors.BronzequayError):
     """A condition of a transaction did not hold; nothing was written.
 
@@ -156,7 +122,7 @@
         resp = await self._call("GET", f"/kv-key?{query}", key, timeout_s=timeout_s)
         if resp.status == 404:  # noqa: PLR2004
             return None
-        return _decode_item(_decode(_check_status(resp, key), _Item))
+        return _decode_item(kv_wire.decode(_check_status(resp, key).body, kv_wire.Item))
 
     async def ensure_answering(self, *, timeout_s: float = FIRST_TIMEOUT_S) -> None:
         """Check that the store answers, so that a write need not be tried while it does not.
@@ -214,7 +180,7 @@
             query["serializable"] = "1"
         path = f"/kv-range?{urllib.parse.urlencode(query)}"
         resp = await self._call("GET", path, prefix)
-        wire = _decode(_check_status(resp, prefix), _Range)
+        wire = kv_wire.decode(_check_status(resp, prefix).body, kv_wire.Range)
         items = tuple(map(_decode_item, wire.items))
         return Page(items, ids.Revision(wire.at), wire.hasMore and bool(items))
 
@@ -248,7 +214,7 @@
                 codes.ResultCode.HISTORY_LOST,
                 f"changes since revision {after} were compacted: {prefix}",
             )
-        wire = _decode(_check_status(resp, prefix), _Events)
+        wire = kv_wire.decode(_check_status(resp, prefix).body, kv_wire.Events)
         return Snapshot(tuple(map(_decode_item, wire.events)), ids.Revision(wire.at))
 
     async def txn(
@@ -276,10 +242,14 @@
         )
         resp = await self._call("POST", "/kv-txn", "transaction", body=body, timeout_s=timeout_s)
         if resp.status == 412:  # noqa: PLR2004
-            raise Conflict(tuple(map(_decode_item, _decode(resp, _ConflictItems).items)))
+            raise Conflict(
+                tuple(map(_decode_item, kv_wire.decode(resp.body, kv_wire.ConflictItems).items))
+            )
         if resp.status == 404:  # noqa: PLR2004
             raise _lease_lost()
-        return ids.Revision(_decode(_check_status(resp, "transaction"), _Committed).revision)
+        return ids.Revision(
+            kv_wire.decode(_check_status(resp, "transaction").body, kv_wire.Committed).revision
+        )
 
     async def grant(self, ttl_s: float, *, timeout_s: float = CALL_TIMEOUT_S) -> Lease:
         """Grant a lease.
@@ -288,7 +258,7 @@
         """
         body = msgspec.json.encode({"ttlMs": round(ttl_s * 1000)})
         resp = await self._call("POST", "/kv-lease", "lease", body=body, timeout_s=timeout_s)
-        granted = _decode(_check_status(resp, "lease"), _Lease)
+        granted = kv_wire.decode(_check_status(resp, "lease").body, kv_wire.Lease)
         return Lease(granted.lease, granted.ttlMs / 1000)
 
     async def renew(self, lease: int, *, timeout_s: float = CALL_TIMEOUT_S) -> None:
@@ -358,20 +328,11 @@
     return wire
 
 
-def _decode_item(wire: _Item) -> Item:
-    value = None if wire.deleted or not wire.revision else base64.b64decode(wire.value)
+def _decode_item(wire: kv_wire.Item) -> Item:
+    value = kv_wire.decode_value(wire)
     return Item(wire.key, value, ids.Revision(wire.revision), ids.Revision(wire.at))
 
 
-def _decode(resp: client.Response, wire_type: type[T]) -> T:
-    try:
-        return msgspec.json.decode(resp.body, type=wire_type)
-    except msgspec.MsgspecError as exc:
-        raise errors.BronzequayError(
-            codes.ResultCode.STORE_TIMEOUT, f"cannot decode the store's answer: {exc}"
-        ) from exc
-
-
 def _check_status(resp: client.Response, subject: str) -> client.Response:
     if resp.status == 200:  # noqa: PLR2004
         return resp
--- a/src/bronzequay/platform/machines.py
+++ b/src/bronzequay/platform/machines.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bronzequay import figures, ids
+from bronzequay import codec, figures, ids
 from bronzequay.net import client
 
 WAVES = "op/wave/"
@@ -45,10 +45,10 @@
 
 
 class _Wave(msgspec.Struct, rename="camel"):
-    wave: int
+    wave: codec.Count
     machines: list[str]
-    complete_by_s: float
-    cap: int = 1
+    complete_by_s: codec.Amount
+    cap: codec.Count = 1
 
 
 class _Status(msgspec.Struct):
@@ -63,8 +63,8 @@
 def decode_wave(value: bytes) -> WaveRequest | None:
     """Decode the operator's request; None when it is malformed."""
     try:
-        wire = msgspec.json.decode(value, type=_Wave)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        wire = codec.from_json(value, _Wave)
+    except msgspec.DecodeError:
         return None
     machines = tuple(map(ids.MachineId, wire.machines))
     return WaveRequest(wire.wave, machines, wire.complete_by_s, wire.cap)
@@ -113,8 +113,8 @@
     if resp.status != 409 or not resp.body:  # noqa: PLR2004
         return ""
     try:
-        return msgspec.json.decode(resp.body, type=_Answer).reason
-    except msgspec.MsgspecError:
+        return codec.from_json(resp.body, _Answer).reason
+    except msgspec.DecodeError:
         return ""
 
 
--- a/src/bronzequay/platform/workers.py
+++ b/src/bronzequay/platform/workers.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import enum
+import re
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 
-from bronzequay import figures, ids
+from bronzequay import codec, figures, ids
 from bronzequay.core import model
 from bronzequay.net import client
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+_TASK_NAME = re.compile(r"([^.]+)\.([0-9]{1,15})\.([0-9]{1,15})\.([0-9]{1,15})")
 ENDS_BY_NAME = {end.value: end for end in model.End if end.value not in ("never_ran", "lost")}
 """Ends that a worker reports; the scheduler itself concludes that a run never ran or was lost."""
 
@@ -108,12 +110,28 @@
     listing: Listing | None = None
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    task: str
+    run: codec.Count
+    saved: str | None
+    percent: codec.Amount
+    load: codec.Amount = 0.0
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    number: codec.Count
+    task: str
+    run: codec.Count
+    how: str
+    saved: str | None
+
+
 class _Answer(msgspec.Struct, rename="camel"):
-    clock_ms: float | None = None
+    clock_ms: codec.Amount | None = None
     reason: str = ""
-    born: int | None = None
-    running: list[list[Any]] = []
-    ended: list[list[Any]] = []
+    born: codec.Count | None = None
+    running: list[_RunningRow] = []
+    ended: list[_EndedRow] = []
 
 
 def task_name(key: model.TaskKey) -> str:
@@ -131,8 +149,11 @@
 
     :raises ValueError: when the name is malformed
     """
-    job, occurrence, step, number = name.split(".")
-    return model.TaskKey(ids.JobId(job), int(occurrence), int(step), int(number))
+    match = _TASK_NAME.fullmatch(name)
+    if match is None:
+        raise ValueError(f"{name!r} is not the name of a task")
+    job, *numbers = match.groups()
+    return model.TaskKey(ids.JobId(job), *map(int, numbers))
 
 
 class OrderClient:
@@ -239,8 +260,8 @@
 
 def _decode_reply(resp: client.Response, *, is_hold: bool) -> Reply:
     try:
-        answer = msgspec.json.decode(resp.body, type=_Answer) if resp.body else _Answer()
-    except msgspec.MsgspecError:
+        answer = codec.from_json(resp.body, _Answer) if resp.body else _Answer()
+    except msgspec.DecodeError:
         return Reply(Outcome.UNKNOWN)
     outcome = _OUTCOMES_BY_STATUS.get(resp.status, Outcome.UNKNOWN)
     if resp.status == 409:  # noqa: PLR2004
@@ -249,29 +270,23 @@
     if is_hold and outcome is Outcome.OK and answer.clock_ms is not None:
         try:
             listing = _decode_listing(answer, answer.clock_ms)
-        except (ValueError, IndexError, TypeError):
+        except ValueError:
             return Reply(Outcome.UNKNOWN)
     return Reply(outcome, answer.clock_ms, answer.born, listing)
 
 
 def _decode_listing(answer: _Answer, clock_ms: float) -> Listing:
     running = tuple(
-        ActiveRun(
-            key=decode_task(row[0]),
-            run=int(row[1]),
-            checkpoint=str(row[2] or ""),
-            percent=float(row[3]),
-            load=float(row[4]) if len(row) > 4 else 0.0,  # noqa: PLR2004
-        )
+        ActiveRun(decode_task(row.task), row.run, row.saved or "", row.percent, row.load)
         for row in answer.running
     )
     ended = tuple(
         EndedRun(
-            number=int(row[0]),
-            key=decode_task(row[1]),
-            run=int(row[2]),
-            end=ENDS_BY_NAME.get(row[3], model.End.STOPPED),
-            checkpoint=str(row[4] or ""),
+            number=row.number,
+            key=decode_task(row.task),
+            run=row.run,
+            end=ENDS_BY_NAME.get(row.how, model.End.STOPPED),
+            checkpoint=row.saved or "",
         )
         for row in answer.ended
     )
