Answers that end HTTP/1.1, or are too large, end their call only

A response 101 makes the parser raise HttpParserUpgrade, which is no HttpParserError and left the client's call: any executor, foreign address or platform service could end a term with it, the store the process. A lack of file descriptors raised OSError before the guarded part, and nothing limited the size of a response.

Change: all three are NoResponseError or NotSentError, which every caller of the client handles.

--- a/src/bronzequay/net/client.py
+++ b/src/bronzequay/net/client.py
@@ -16,6 +16,8 @@
     from collections.abc import Mapping
 
 READ_BYTES = 65_536
+MAX_RESPONSE_BYTES = 33_554_432
+"""Limit on a response held in memory; the store's largest pages have a few MB."""
 CONNECT_TIMEOUT_S = 1.0
 """Connecting takes a few milliseconds; the kernel resends a lost SYN only after one second."""
 UNACKED_TIMEOUT_MS = 4000
@@ -58,6 +60,17 @@
         self.is_complete = False
         self.is_keep_alive = False
         self.parser = httptools.HttpResponseParser(self)
+        self._size = 0
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes.
+
+        :raises NoResponseError: when the response is too large
+        """
+        self._size += len(data)
+        if self._size > MAX_RESPONSE_BYTES:
+            raise NoResponseError(f"the response has more than {MAX_RESPONSE_BYTES} bytes")
+        self.parser.feed_data(data)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
@@ -96,11 +109,11 @@
                     raise NoResponseError(
                         "the peer closed the connection before the response was complete"
                     )
-                reader.parser.feed_data(data)
+                reader.feed(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise NoResponseError("the connection broke before the response was complete") from exc
-        except httptools.HttpParserError as exc:
-            raise NoResponseError(f"malformed response: {exc}") from exc
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            raise NoResponseError(f"malformed response: {exc!r}") from exc
         finally:
             self.is_open = reader.is_complete and reader.is_keep_alive
             if not self.is_open:
@@ -177,7 +190,10 @@
         return await self._connect(timeout_s)
 
     async def _connect(self, timeout_s: float) -> Connection:
-        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as exc:  # no file descriptor is left
+            raise NotSentError(f"cannot open a socket for {self.address}: {exc!r}") from exc
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS)
