--- a/src/bronzequay/net/server.py
+++ b/src/bronzequay/net/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import functools
 import socket
 from typing import TYPE_CHECKING
@@ -12,6 +11,8 @@
 import structlog
 import trio
 
+from bronzequay import figures
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -65,7 +66,7 @@
 
     def reset(self) -> None:
         self.target = b""
-        self.headers: dict[str, str] = {}
+        self.raw_headers: list[tuple[bytes, bytes]] = []
         self.chunks: list[bytes] = []
         self.size = 0
         self.is_complete = False
@@ -78,7 +79,7 @@
         self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        self.raw_headers.append((name, value))
 
     def on_body(self, data: bytes) -> None:
         self.size += len(data)
@@ -90,6 +91,41 @@
         self.is_keep_alive = self.parser.should_keep_alive()
         self.is_complete = True
 
+    @property
+    def headers(self) -> dict[str, str]:
+        """Return the headers' values by lower-case name; the last of several counts."""
+        return {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in self.raw_headers
+        }
+
+    def feed(self, data: bytes) -> None:
+        """Parse received bytes.
+
+        :raises httptools.HttpParserError: when they are malformed
+        """
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as exc:
+            self._decline_upgrade(data[exc.args[0] :])
+
+    def _decline_upgrade(self, rest: bytes) -> None:
+        """Parse a request that offers another protocol again, without the offer.
+
+        The parser takes the end of its headers for the end of HTTP/1.1.
+
+        :param rest: the bytes after its headers
+        """
+        if self.parser.get_method() == b"CONNECT":
+            self.is_keep_alive = False
+            return
+        version = self.parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b" % (self.parser.get_method(), self.target, version)]
+        lines += [b"%b: %b" % pair for pair in self.raw_headers if pair[0].lower() != b"upgrade"]
+        self.parser = httptools.HttpRequestParser(self)
+        self.reset()
+        self.parser.feed_data(b"\r\n".join([*lines, b"", b""]) + rest)
+
 
 class Server:
     """Serves one address until cancelled.
@@ -133,8 +169,8 @@
                 try:
                     sock, _ = await listener.accept()
                 except OSError as exc:
-                    if exc.errno not in (errno.EMFILE, errno.ENFILE, errno.ECONNABORTED):
-                        raise
+                    # The listener stays usable: a lack of descriptors or memory, or an error of
+                    # the connection that was to be accepted.
                     _log.warning("accept_failed", error=str(exc))
                     await trio.sleep(0.1)
                     continue
@@ -151,6 +187,9 @@
             pass
         except httptools.HttpParserError:
             await _send_ignoring_errors(stream, _encode(Response(400), keep_alive=False))
+        except Exception:  # noqa: BLE001  # it must not end the other connections
+            _log.exception("connection_failed", target=reader.target.decode("latin-1"))
+            figures.count("connections_failed")
         finally:
             stream.socket.close()
 
@@ -163,7 +202,7 @@
                 data = await stream.receive_some(READ_BYTES)
                 if not data:
                     return False
-                reader.parser.feed_data(data)
+                reader.feed(data)
                 timeout_s = RECEIVE_TIMEOUT_S
                 continue
             return False
@@ -179,6 +218,8 @@
             req = Request(method, path, reader.headers, b"".join(reader.chunks), query)
             if reader.size > MAX_BODY_BYTES:
                 response = Response(413)
+            elif method == "CONNECT":
+                response = Response(405)
             else:
                 response = await self._call_handler(req)
             keep_alive = reader.is_keep_alive and not self._is_keep_alive_disabled
