Unreadable records do not keep terms from scheduling

A progress record that named a step or worker which the job lacks was restored up to that point, and the half of the job stayed in the term's state. A Deadline-Ms of odd digits or thousands of them made the handler answer 500.

Change: records are decoded through `codec` and checked as a whole before anything is added; a head that cannot be read, or whose epoch is higher than the revision it was written at, counts as none and is overwritten under its revision. A time budget that is no number counts as not given.

--- a/src/bronzequay/control/failures.py
+++ b/src/bronzequay/control/failures.py
@@ -9,7 +9,7 @@
 import msgspec
 import structlog
 
-from bronzequay import ids
+from bronzequay import codec, ids
 
 MAX_FAILURES = 2
 """Terms that may fail at a job before the job is given up; one failure may have another cause."""
@@ -38,7 +38,7 @@
     if value is None:
         return ()
     try:
-        return msgspec.msgpack.decode(value, type=tuple[Failure, ...])
+        return codec.from_msgpack(value, tuple[Failure, ...])
     except msgspec.MsgspecError as exc:
         _log.error("failures_unreadable", error=str(exc))
         return ()
--- a/src/bronzequay/control/intake.py
+++ b/src/bronzequay/control/intake.py
@@ -9,6 +9,7 @@
 import structlog
 import trio
 
+from bronzequay import codec
 from bronzequay.control import failures, keys, prefix
 from bronzequay.core import lifecycle, model, records
 from bronzequay.platform import kv
@@ -73,7 +74,7 @@
                     lifecycle.give_up(state, spec, GIVEN_UP_REASON)
                     continue
                 records.restore(state, spec, progress.get(spec.job))
-            except (msgspec.MsgspecError, IndexError, KeyError) as exc:
+            except msgspec.MsgspecError as exc:
                 _log.error("progress_unreadable", job=spec.job, error=str(exc))
                 continue
             if spec.job in state.jobs:
@@ -118,7 +119,7 @@
         if not item.key.startswith(keys.JOBS) or item.value is None:
             continue
         try:
-            specs.append(msgspec.msgpack.decode(item.value, type=model.JobSpec))
+            specs.append(codec.from_msgpack(item.value, model.JobSpec))
         except msgspec.MsgspecError as exc:
             _log.error("job_unreadable", key=item.key, revision=item.rev, error=str(exc))
     return specs
--- a/src/bronzequay/control/journal.py
+++ b/src/bronzequay/control/journal.py
@@ -8,7 +8,7 @@
 import structlog
 import trio
 
-from bronzequay import codes, errors, ids
+from bronzequay import codec, codes, errors, ids
 from bronzequay.control import failures, keys, status
 from bronzequay.core import explain, records
 from bronzequay.platform import kv, machines
@@ -77,10 +77,9 @@
         """
         while True:
             item = await self._store.get(keys.HEAD)
-            if item is not None and item.value is not None:
-                head = msgspec.msgpack.decode(item.value, type=Head)
-                if head.epoch >= self._head.epoch:
-                    raise _fenced_error(head.epoch)
+            epoch = _epoch_in(item)
+            if epoch >= self._head.epoch:
+                raise _fenced_error(epoch)
             self._rev = kv.ABSENT if item is None else item.rev
             try:
                 await self._write(Change())
@@ -90,6 +89,15 @@
             else:
                 return
 
+    async def check_fenced(self) -> None:
+        """Raise the error of a fenced term if a later one has written the journal.
+
+        :raises errors.BronzequayError: FENCED, or the store cannot be read
+        """
+        epoch = _epoch_in(await self._store.get(keys.HEAD))
+        if epoch > self._head.epoch:
+            raise _fenced_error(epoch)
+
     def add_stored(self, job: Job) -> None:
         """Record what the store holds of a job that was read from it."""
         self._stored_states[job.spec.job] = job.state.value
@@ -199,6 +207,24 @@
         self._head = head
 
 
+def _epoch_in(item: kv.Item | None) -> ids.Epoch:
+    """Return the epoch in the stored head, 0 when there is none or it is unreadable.
+
+    Epochs are revisions of the store, so a head is never written before its epoch.
+    """
+    if item is None or item.value is None:
+        return ids.Epoch(0)
+    try:
+        head = codec.from_msgpack(item.value, Head)
+    except msgspec.DecodeError as exc:
+        _log.error("head_unreadable", revision=item.rev, error=str(exc))
+        return ids.Epoch(0)
+    if head.epoch > item.rev:
+        _log.error("head_invalid", revision=item.rev, epoch=head.epoch)
+        return ids.Epoch(0)
+    return head.epoch
+
+
 def _wave_change(wave: upkeep.Wave) -> Change:
     operator_status = machines.encode_status(wave.number, is_done=wave.is_done)
     return Change(
--- a/src/bronzequay/control/lease.py
+++ b/src/bronzequay/control/lease.py
@@ -8,7 +8,7 @@
 import structlog
 import trio
 
-from bronzequay import clock, codes, errors, ids
+from bronzequay import clock, codec, codes, errors, ids
 from bronzequay.control import keys
 from bronzequay.platform import kv
 
@@ -102,7 +102,7 @@
 async def _revoke_own_earlier(store: Store, instance: ids.InstanceId, value: bytes | None) -> None:
     """Revoke the lease of an earlier process of this instance, which cannot be running."""
     try:
-        leader = msgspec.msgpack.decode(value or b"", type=LeaderRecord)
+        leader = codec.from_msgpack(value or b"", LeaderRecord)
     except msgspec.MsgspecError:
         _log.warning("leader_unreadable")
         return
--- a/src/bronzequay/control/status.py
+++ b/src/bronzequay/control/status.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bronzequay import ids
+from bronzequay import codec, ids
 from bronzequay.core import order
 
 if TYPE_CHECKING:
@@ -72,7 +72,7 @@
 
     :raises msgspec.MsgspecError: the value is malformed
     """
-    return msgspec.msgpack.decode(value, type=Status)
+    return codec.from_msgpack(value, Status)
 
 
 __all__ = ["Status", "decode", "encode", "from_spec"]
--- a/src/bronzequay/core/records.py
+++ b/src/bronzequay/core/records.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bronzequay import ids
+from bronzequay import codec, ids
 from bronzequay.core import lifecycle, model, occurrences
 from bronzequay.core import state as states
 
@@ -22,9 +22,9 @@
     :param worker: index into ``JobRecord.workers``, -1 when the task is not placed
     """
 
-    index: int
+    index: codec.Count
     is_done: bool
-    run: int
+    run: codec.Count
     worker: int = NOT_PLACED
     failures: int = 0
     checkpoint: str = ""
@@ -36,8 +36,8 @@
 class StepRecord(msgspec.Struct, array_like=True):
     """A step of a due occurrence that is done or was started."""
 
-    occurrence: int
-    step: int
+    occurrence: codec.Count
+    step: codec.Count
     is_done: bool
     failures: int
     failed_run: int
@@ -54,8 +54,8 @@
     :param begun_s: when the first task was started, in seconds since the Unix epoch
     """
 
-    state: str
-    next_occurrence: int
+    state: model.JobState
+    next_occurrence: codec.Count
     workers: list[str]
     steps: list[StepRecord]
     begun_s: float = 0.0
@@ -67,7 +67,7 @@
     workers: dict[str, int] = {}
     steps = [_encode_step(step, workers) for step in job.steps() if _has_progress(step)]
     record = JobRecord(
-        job.state.value, job.next_occurrence, list(workers), steps, job.begun_s, job.reason
+        job.state, job.next_occurrence, list(workers), steps, job.begun_s, job.reason
     )
     return msgspec.msgpack.encode(record)
 
@@ -119,23 +119,24 @@
     """
     if value is None:
         return False
-    state = msgspec.msgpack.decode(value, type=JobRecord).state
-    return model.JobState(state) in model.FINAL_STATES
+    return codec.from_msgpack(value, JobRecord).state in model.FINAL_STATES
 
 
 def restore(state: State, spec: model.JobSpec, value: bytes | None) -> None:
     """Add a job from its specification and its progress record.
 
     :param value: the progress record, None when there is none yet
-    :raises msgspec.MsgspecError: when the record cannot be read
+    :raises msgspec.DecodeError: when the record cannot be read or is not of this job; nothing is
+        added then
     """
     if value is None:
         lifecycle.accept(state, spec)
         return
-    record = msgspec.msgpack.decode(value, type=JobRecord)
+    record = codec.from_msgpack(value, JobRecord)
     job = states.Job(spec)
+    _check(record, job)
     state.jobs[spec.job] = job
-    job.state = model.JobState(record.state)
+    job.state = record.state
     job.has_begun = bool(record.steps)
     job.begun_s, job.reason = record.begun_s, record.reason
     job.next_occurrence = record.next_occurrence
@@ -156,6 +157,25 @@
     occurrences.open_due(state, job)
 
 
+def _check(record: JobRecord, job: Job) -> None:
+    """Check that a record refers to occurrences, steps, tasks and workers that exist.
+
+    :raises msgspec.DecodeError: it does not
+    """
+    counts = [step.count for step in job.spec.steps]
+    is_valid = record.next_occurrence <= job.occurrence_count and all(
+        step.occurrence < record.next_occurrence
+        and step.step < len(counts)
+        and all(
+            task.index < counts[step.step] and NOT_PLACED <= task.worker < len(record.workers)
+            for task in step.tasks
+        )
+        for step in record.steps
+    )
+    if not is_valid:
+        raise msgspec.DecodeError("the record refers to what the job does not have")
+
+
 def _restore_step(state: State, step: StepRun, record: StepRecord, job: JobRecord) -> None:
     step.is_done = record.is_done
     step.failures = record.failures
--- a/src/bronzequay/front/handler.py
+++ b/src/bronzequay/front/handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -33,6 +34,7 @@
 """Part of the caller's timeout that is reserved for sending the response."""
 DEFAULT_TIMEOUT_S = 3.0
 _REJECTION_STATUSES = frozenset({400, 401, 404, 405, 413})
+_MILLISECONDS = re.compile(r"[0-9]{1,15}")
 NO_ORG = ids.OrgId("")
 """Organisation of callers of public routes that send no known API key."""
 
@@ -240,7 +242,8 @@
 
 def _timeout_s(req: server.Request) -> float:
     text = req.headers.get("deadline-ms", "")
-    return int(text) / 1000 if text.isdigit() else DEFAULT_TIMEOUT_S
+    is_number = _MILLISECONDS.fullmatch(text) is not None
+    return int(text) / 1000 if is_number else DEFAULT_TIMEOUT_S
 
 
 def _encode_error(exc: errors.BronzequayError) -> bytes:
--- a/tests/front/test_handler.py
+++ b/tests/front/test_handler.py
@@ -194,3 +194,12 @@
     await send("POST", f"/q1/{JOB}", BODY)
     assert (await send("DELETE", f"/q1/{JOB}")).status == 200
     assert site.kv.keys(keys.CANCELS) == [keys.CANCELS + JOB]
+
+
+@pytest.mark.parametrize("text", ["", "-1", "\u00b2", "soon", "9" * 5000])
+async def test_a_time_budget_that_is_no_number_counts_as_none(
+    autojump_clock: MockClock, site: Site, text: str
+) -> None:
+    """Guards against a header that makes the handler fail with an unexpected error."""
+    send = await site.start_front("f", headers={"deadline-ms": text})
+    assert (await send("POST", f"/q1/{JOB}", BODY)).status == 200
