A worker's answer does not end a term, nor an error in its session

A server that answered 409 with the reason `fence` to every order ended each scheduler's term; so did any unexpected error in the calls to one worker.

Cause: the answer was believed as such, and the sessions of all workers share the nursery of the term.

An unexpected error counts as a call without an answer in a session, as an unknown outcome in a delivery: starts are stopped, stops are repeated. It is logged with its traceback and counted.

--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TYPE_CHECKING
 
 import structlog
 import trio
 
-from bronzequay import codes, errors
+from bronzequay import errors, figures
 from bronzequay.core import advice, lifecycle, model, pacing
 from bronzequay.platform import executor_entries, workers
 
@@ -96,26 +97,54 @@
         try:
             async with trio.open_nursery() as nursery:
                 async for command in self._receive:
-                    if isinstance(command, model.Stop):
-                        nursery.start_soon(self.stop, command)
-                    elif isinstance(command, model.Pace):
-                        nursery.start_soon(self._pace, command)
-                    else:
-                        nursery.start_soon(self._start, command)
+                    nursery.start_soon(self._deliver, command)
         finally:
             self.client.close()
 
+    async def _deliver(self, command: model.Command) -> None:
+        """Deliver one order; an unexpected error leaves its outcome unknown."""
+        if isinstance(command, model.Stop):
+            await self.stop(command)
+            return
+        try:
+            if isinstance(command, model.Pace):
+                await self._pace(command)
+            else:
+                await self._start(command)
+        except errors.BronzequayError:
+            raise
+        except Exception:  # noqa: BLE001  # it must not end the sessions of other workers
+            self._log_error(command)
+            if isinstance(command, model.Pace):
+                self._term.post(functools.partial(pacing.mark_speed_unknown, command=command))
+            else:
+                self._term.post(functools.partial(lifecycle.abandon_start, command=command))
+
     async def stop(self, command: model.Stop) -> None:
         """Send a stop order until it is confirmed; cancelled with the session."""
         while True:
             await self._term.wait_until_trusted()
-            reply = await self.client.stop(command, timeout_s=TIMEOUT_S)
-            if reply.outcome is workers.Outcome.OK:
-                self._record_answer(command)
-                return
-            _check_epoch(reply.outcome, self._worker)
+            try:
+                reply = await self.client.stop(command, timeout_s=TIMEOUT_S)
+            except Exception:  # noqa: BLE001  # it must not end the sessions of other workers
+                self._log_error(command)
+            else:
+                if reply.outcome is workers.Outcome.OK:
+                    self._record_answer(command)
+                    return
+                await self._check_epoch(reply.outcome)
             await trio.sleep(RETRY_S)
 
+    def _log_error(self, command: model.Command) -> None:
+        _log.exception(
+            "delivery_error", worker=self._worker, job=command.key.job, task=command.key[1:]
+        )
+        figures.count("delivery_errors")
+
+    async def _check_epoch(self, outcome: workers.Outcome) -> None:
+        if outcome is workers.Outcome.STALE_EPOCH:
+            await self._term.end_if_fenced(self._worker)
+
     async def _start(self, command: model.Start) -> None:
         """Send a start until it is answered.
 
@@ -139,6 +168,7 @@
                 break
             if not may_have_started:
                 del self._unanswered[run]
+            await self._check_epoch(reply.outcome)
             if reply.outcome not in _UNANSWERED:
                 self._on_answer(command, reply.outcome, may_have_started=may_have_started)
                 return
@@ -154,7 +184,7 @@
         """Send a pace order once; if it is not confirmed, the next listing leads to another."""
         await self._term.wait_until_trusted()
         reply = await self.client.pace(command, timeout_s=TIMEOUT_S)
-        _check_epoch(reply.outcome, self._worker)
+        await self._check_epoch(reply.outcome)
         if reply.outcome is not workers.Outcome.OK:
             self._term.post(lambda state: pacing.mark_speed_unknown(state, command))
 
@@ -180,7 +210,6 @@
             outcome=outcome.value,
             may_have_started=may_have_started,
         )
-        _check_epoch(outcome, self._worker)
         if outcome is workers.Outcome.STALE_RUN:
             # The run may have ended on the worker; the next listing shows whether it has.
             self._record_answer(command)
@@ -193,13 +222,6 @@
         self._answered_s[(command.key, command.run)] = trio.current_time()
 
 
-def _check_epoch(outcome: workers.Outcome, worker: str) -> None:
-    if outcome is workers.Outcome.STALE_EPOCH:
-        raise errors.BronzequayError(
-            codes.ResultCode.FENCED, f"{worker} has accepted calls of a later term"
-        )
-
-
 def end_as_lost(state: State, start: model.Start) -> None:
     """End the run of a start as lost with its worker incarnation."""
     lifecycle.end_run(state, start.worker, start.key, start.run, model.End.LOST)
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -8,7 +8,7 @@
 import structlog
 import trio
 
-from bronzequay import clock, codes, errors
+from bronzequay import clock, errors, figures
 from bronzequay.control import delivery
 from bronzequay.core import evacuate, health, lifecycle, losses, model, pacing
 from bronzequay.platform import executor_entries, workers
@@ -129,27 +129,42 @@
         self._bar_acked_s[start] = trio.current_time()
 
     async def _renew_leases(self) -> None:
+        """Renew the run leases until the incarnation is over.
+
+        An unexpected error counts as a call without an answer, so that it ends no other session.
+        """
         while True:
-            if not self._term.may_renew_run_leases:
+            try:
+                is_over = await self._renew_once()
+            except errors.BronzequayError:
+                raise
+            except Exception:  # noqa: BLE001
+                _log.exception("session_error", worker=self.worker)
+                figures.count("session_errors")
+                is_over = self._on_no_answer()
                 await trio.sleep(RETRY_S)
-                continue
-            sent_s = trio.current_time()
-            reply = await self._hold()
-            if reply.listing is not None and self._is_same_incarnation(reply.listing):
-                await self._on_listing(reply.listing, sent_s)
-            elif reply.outcome is workers.Outcome.STALE_EPOCH:
-                raise errors.BronzequayError(
-                    codes.ResultCode.FENCED,
-                    f"{self.worker} has accepted calls of a later term",
-                )
-            elif self._is_incarnation_over(reply):
-                _log.info("worker_life_over", worker=self.worker, outcome=reply.outcome.value)
-                self._term.roster.end_session(self, _ending_of(reply))
-                return
-            elif self._on_no_answer():
+            if is_over:
                 return
-            else:
-                await trio.sleep(RETRY_S)
+
+    async def _renew_once(self) -> bool:
+        """Make one call and apply its answer; return whether the incarnation is over."""
+        if not self._term.may_renew_run_leases:
+            await trio.sleep(RETRY_S)
+            return False
+        sent_s = trio.current_time()
+        reply = await self._hold()
+        if reply.listing is not None and self._is_same_incarnation(reply.listing):
+            await self._on_listing(reply.listing, sent_s)
+            return False
+        if reply.outcome is workers.Outcome.STALE_EPOCH:
+            await self._term.end_if_fenced(self.worker)
+        elif self._is_incarnation_over(reply):
+            _log.info("worker_life_over", worker=self.worker, outcome=reply.outcome.value)
+            self._term.roster.end_session(self, _ending_of(reply))
+            return True
+        is_over = self._on_no_answer()
+        await trio.sleep(RETRY_S)
+        return is_over
 
     def _is_incarnation_over(self, reply: workers.Reply) -> bool:
         """Return whether an answer, or the lack of a listener, shows that the incarnation ended."""
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -8,7 +8,7 @@
 import structlog
 import trio
 
-from bronzequay import clock, errors, figures
+from bronzequay import clock, codes, errors, figures
 from bronzequay.control import advisor, intake, journal, roster, session, sweep, upkeep
 from bronzequay.core import explain, lifecycle, losses, model, schedule
 from bronzequay.core import state as states
@@ -29,6 +29,8 @@
 MAX_MISSED_BEATS = 2
 ENTRY_DELAY_S = 1.0
 """Longest time from the write of a worker's entry to its arrival here."""
+FENCE_CHECK_INTERVAL_S = 1.0
+"""Shortest time between two checks of whether a later term has begun."""
 FAILURE_WRITE_S = 2.0
 """Time for the record of a failed term; without an answer the next term may fail alike."""
 PAUSE_FACTOR = 2.0
@@ -76,6 +78,7 @@
         self._posts: list[tuple[StateChange, trio.Event]] = []
         self._wake = trio.Event()
         self._first_majority_s: float | None = None
+        self._fence_checked_s = float("-inf")
         self._last_pass_s = float("-inf")
         self._next_pass_s = 0.0
 
@@ -137,6 +140,27 @@
         self._wake.set()
         return durable
 
+    async def end_if_fenced(self, source: str) -> None:
+        """End the term if a later one has begun, as an answer to one of its orders says.
+
+        The answer alone does not end it: anyone may answer at an address that the store lists. A
+        later term writes the journal before it sends its first order.
+
+        :param source: who gave the answer
+        :raises errors.BronzequayError: FENCED
+        """
+        if trio.current_time() - self._fence_checked_s < FENCE_CHECK_INTERVAL_S:
+            return
+        self._fence_checked_s = trio.current_time()
+        try:
+            await self._journal.check_fenced()
+        except errors.BronzequayError as exc:
+            if exc.code is codes.ResultCode.FENCED:
+                raise
+            _log.warning("fence_not_checked", source=source, epoch=self.epoch, error=str(exc))
+        else:
+            _log.warning("fence_unconfirmed", source=source, epoch=self.epoch)
+
     def payload_for(self, command: model.Start) -> str | None:
         """Return the payload of a run, None when the run is no longer wanted."""
         task = self._state.task_of(command.key)
--- a/src/bronzequay/control/upkeep.py
+++ b/src/bronzequay/control/upkeep.py
@@ -9,7 +9,7 @@
 import structlog
 import trio
 
-from bronzequay import clock, codes, errors
+from bronzequay import clock, codec
 from bronzequay.control import keys, prefix
 from bronzequay.core import model, upkeep
 from bronzequay.platform import machines
@@ -110,10 +110,7 @@
             if outcome is machines.Outcome.OK:
                 return
             if outcome is machines.Outcome.STALE_EPOCH:
-                raise errors.BronzequayError(
-                    codes.ResultCode.FENCED,
-                    f"{command.machine} rejected an upkeep order: a later term has begun",
-                )
+                await self._term.end_if_fenced(command.machine)
             if outcome is machines.Outcome.REFUSED:
                 self._term.post(
                     lambda state: upkeep.drop_machine(state, command.wave, command.machine)
@@ -140,7 +137,7 @@
     waves = []
     for item in items:
         try:
-            waves.append(msgspec.msgpack.decode(item.value or b"", type=upkeep.Wave))
+            waves.append(codec.from_msgpack(item.value or b"", upkeep.Wave))
         except msgspec.MsgspecError as exc:
             _log.error("wave_record_unreadable", key=item.key, error=str(exc))
     return waves
