--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -45,6 +45,7 @@
     :param rules: returns the rules in force
     :param max_run_lease_s: longest lease that a worker accepts for its runs
     :param beat_s: time between two writes of a worker's entry
+    :param remote_factor: slow-down of a task off its data's rack, or of a gang spread over racks
     :param advice_address: ``IP:PORT`` of the advice service, empty when there is none
     :param machine_client: client of the platform's machine interface, None where there is none
     :param holdoff_s: time from the term's start for which machines get no orders
@@ -59,6 +60,7 @@
         *,
         max_run_lease_s: float,
         beat_s: float,
+        remote_factor: float = 3.0,
         advice_address: str = "",
         machine_client: machines.MachineClient | None = None,
         holdoff_s: float = 0.0,
@@ -74,7 +76,9 @@
         self._intake = intake.Intake(store, self)
         self._journal = journal.Journal(store, leader_lease.epoch)
         max_entry_age_s = MAX_MISSED_BEATS * beat_s + ENTRY_DELAY_S
-        self._state = states.State(rules(), max_entry_age_s=max_entry_age_s)
+        self._state = states.State(
+            rules(), max_entry_age_s=max_entry_age_s, remote_factor=remote_factor
+        )
         self._posts: list[tuple[StateChange, trio.Event]] = []
         self._wake = trio.Event()
         self._first_majority_s: float | None = None
--- a/src/bronzequay/core/explain.py
+++ b/src/bronzequay/core/explain.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from bronzequay.core import advice, order, place
+from bronzequay.core import advice, order, place, rooms
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
@@ -45,7 +45,7 @@
     ]
     free_slots = sum(
         view.unreserved_room(worker, float("inf")).count_fitting(
-            need, place.max_additional_tasks(worker, step)
+            need, rooms.max_additional_tasks(worker, step)
         )
         for worker in permitted_workers
     )
--- a/src/bronzequay/core/place.py
+++ b/src/bronzequay/core/place.py
@@ -4,11 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from bronzequay.core import advice, isolate, model, rollout
+from bronzequay.core import advice, isolate, model, rollout, rooms, spread
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
+    from collections.abc import Set as AbstractSet
 
     from bronzequay import ids
     from bronzequay.core.state import State, StepRun, Task, Worker
@@ -16,50 +17,22 @@
 Placement = list[tuple["Task", "Worker"]]
 
 
-class Room:
-    """Resources that are free on a worker for a step.
-
-    :param cpu: thousandths of a core
-    """
-
-    __slots__ = ("cpu", "gpu", "mem_mb")
-
-    def __init__(self, cpu: int, mem_mb: int, gpu: int) -> None:
-        self.cpu = cpu
-        self.mem_mb = mem_mb
-        self.gpu = gpu
-
-    def release(self, need: model.Resources, count: int = 1) -> None:
-        """Add the resources of some tasks; a negative count subtracts them."""
-        self.cpu += need.cpu * count
-        self.mem_mb += need.mem_mb * count
-        self.gpu += need.gpu * count
-
-    def count_fitting(self, need: model.Resources, limit: int) -> int:
-        """Return how many tasks fit, at most ``limit``."""
-        if need.gpu:
-            if self.gpu < need.gpu:
-                return 0
-            limit = min(limit, self.gpu // need.gpu)
-        if need.cpu:
-            limit = min(limit, self.cpu // need.cpu)
-        if need.mem_mb:
-            limit = min(limit, self.mem_mb // need.mem_mb)
-        return max(0, limit)
-
-
 class FleetView:
     """The workers during one scheduling pass, less the room reserved earlier in the pass.
 
     :param state: state whose open steps the pass goes through
+    :param guaranteed: jobs that the guarantees of their organisations cover
     """
 
-    def __init__(self, state: State) -> None:
+    def __init__(self, state: State, guaranteed: AbstractSet[ids.JobId] = frozenset()) -> None:
         self._state = state
+        self._guaranteed = guaranteed
+        self._ends: dict[ids.WorkerId, list[rooms.ExpectedEnd]] = {}
+        self._waits_for_rack: dict[model.StepKey, bool] = {}
         self._reserved: dict[ids.WorkerId, list[tuple[float, model.Resources, int]]] = {}
         self._eligible: dict[tuple[ids.ServiceId, str], list[Worker]] = {}
         self._with_room: dict[tuple[ids.ServiceId, str], list[Worker]] = {}
-        self._groups: dict[object, list[tuple[int, list[Worker]]]] = {}
+        self._racks: dict[object, list[tuple[int, list[Worker]]]] = {}
         needs = [states.allocation_of(step.spec) for step in state.open_steps.values()]
         self._smallest_need = model.Resources(
             min((need.cpu for need in needs), default=0),
@@ -104,24 +77,58 @@
             ]
         return self._with_tickets(step, self._with_room[key])
 
-    def candidate_groups(self, step: StepRun) -> list[list[Worker]]:
-        """Return groups of workers, each to be tried as the place of all tasks of a step.
+    def group_tiers(self, step: StepRun) -> Iterator[list[list[Worker]]]:
+        """Yield groups of workers, each to be tried as the place of all tasks of a step.
 
-        For a step with ``same_rack`` these are the racks that could hold all its tasks when empty.
-        If no rack is large enough, and for other steps, all permitted workers are one group.
+        The groups of one tier are alike, and those of a later tier are worse. For a gang with
+        ``same_rack`` the first tier has the racks that could hold it when empty, if there are any;
+        the whole fleet follows only if the gang does not wait for a rack.
         """
-        if not step.spec.same_rack:
-            return [self.permitted_workers(step)]
+        racks = self._large_racks(step) if step.spec.is_gang and step.spec.same_rack else []
+        if racks:
+            yield racks
+            if self._is_waiting_for(step, racks):
+                return
+        yield [self.permitted_workers(step)]
+
+    def _large_racks(self, step: StepRun) -> list[list[Worker]]:
         queue = self._state.queue_of(step.job)
         scope = step.key if queue is not None and queue.requires_advice else step.job.spec.queue
         key = (scope, step.spec.label, step.spec.need, step.spec.max_per_worker)
-        if key not in self._groups:
+        if key not in self._racks:
             racks = _group_by_rack(self.permitted_workers(step)).values()
-            self._groups[key] = [
-                (sum(_max_tasks_if_empty(worker, step) for worker in rack), rack) for rack in racks
+            self._racks[key] = [
+                (sum(rooms.max_tasks_if_empty(worker, step) for worker in rack), rack)
+                for rack in racks
             ]
-        large = [rack for room, rack in self._groups[key] if room >= step.spec.count]
-        return large or [self.permitted_workers(step)]
+        return [rack for room, rack in self._racks[key] if room >= step.spec.count]
+
+    def _is_waiting_for(self, step: StepRun, racks: list[list[Worker]]) -> bool:
+        if step.key not in self._waits_for_rack:
+            waits = spread.waits_for_rack(self._state, step, racks, self)
+            self._waits_for_rack[step.key] = waits
+        return self._waits_for_rack[step.key]
+
+    def is_guaranteed(self, step: StepRun) -> bool:
+        """Return whether the guarantee of its organisation covers a step."""
+        return step.job.spec.job in self._guaranteed
+
+    def earliest_fit(self, step: StepRun, group: list[Worker]) -> rooms.Fit | None:
+        """Return the room for a gang that is first large enough as running work ends.
+
+        :return: the room, None when the group is never large enough
+        """
+        return rooms.earliest_fit(
+            step,
+            group,
+            room_of=lambda worker: self.unreserved_room(worker, float("inf")),
+            ends_of=self._expected_ends,
+        )
+
+    def _expected_ends(self, worker: Worker) -> list[rooms.ExpectedEnd]:
+        if worker.spec.worker not in self._ends:
+            self._ends[worker.spec.worker] = rooms.expected_ends(self._state, worker)
+        return self._ends[worker.spec.worker]
 
     def reserve(
         self, worker: ids.WorkerId, need: model.Resources, count: int, available_s: float
@@ -132,12 +139,12 @@
         """
         self._reserved.setdefault(worker, []).append((available_s, need, count))
 
-    def unreserved_room(self, worker: Worker, until_s: float) -> Room:
+    def unreserved_room(self, worker: Worker, until_s: float) -> rooms.Room:
         """Return the free room of a worker, less the reservations that begin before a time.
 
         :param until_s: when the task to be placed is expected to end
         """
-        room = Room(worker.free_cpu, worker.free_mem_mb, worker.free_gpu)
+        room = rooms.Room(worker.free_cpu, worker.free_mem_mb, worker.free_gpu)
         for available_s, need, count in self._reserved.get(worker.spec.worker, ()):
             if available_s < until_s:
                 room.release(need, -count)
@@ -160,27 +167,6 @@
     ]
 
 
-def max_additional_tasks(worker: Worker, step: StepRun) -> int:
-    """Return how many more tasks of a step a worker may have by the step's limit per worker."""
-    if not step.spec.max_per_worker:
-        return step.spec.count
-    job, occurrence, number = step.job.spec.job, step.occurrence, step.number
-    held = sum(
-        key.job == job and key.occurrence == occurrence and key.step == number
-        for key in worker.tasks
-    )
-    return step.spec.max_per_worker - held
-
-
-def _max_tasks_if_empty(worker: Worker, step: StepRun) -> int:
-    """Return how many tasks of a step fit on a worker without other tasks."""
-    capacity = worker.spec.capacity
-    limit = step.spec.max_per_worker or model.MAX_TASKS_PER_JOB
-    return Room(capacity.cpu, capacity.mem_mb, capacity.gpu).count_fitting(
-        states.allocation_of(step.spec), limit
-    )
-
-
 def _group_by_rack(workers: Iterable[Worker]) -> dict[str, list[Worker]]:
     racks: dict[str, list[Worker]] = {}
     for worker in workers:
@@ -198,15 +184,40 @@
         return _place_single_tasks(state, step, view)
     if len(waiting) < step.spec.count:
         return []
+    for tier, groups in enumerate(view.group_tiers(step)):
+        placement = _place_gang(state, step, groups, view)
+        if placement and tier:
+            state.record_decision(
+                "gang_spread",
+                step.job.spec.job,
+                step=step.number,
+                waited_s=round(spread.waited_s(state, step), 2),
+                racks=sorted({worker.spec.rack for _, worker in placement}),
+            )
+        if placement:
+            return placement
+        if not _may_fit(step, view.permitted_workers(step)):
+            break
+    return []
+
+
+def _may_fit(step: StepRun, workers: list[Worker]) -> bool:
+    """Return whether workers have enough free accelerators for a gang, wherever they are."""
+    free_gpus = sum(max(0, worker.free_gpu) for worker in workers)
+    return free_gpus >= states.allocation_of(step.spec).gpu * step.spec.count
+
+
+def _place_gang(
+    state: State, step: StepRun, groups: Iterable[list[Worker]], view: FleetView
+) -> Placement:
+    """Find the best workers for a whole gang in one of some groups, empty when it fits in none."""
     best: Placement = []
     best_cost: tuple[int, bool, int, int] | None = None
-    need = states.allocation_of(step.spec)
-    for group in view.candidate_groups(step):
-        if sum(worker.free_gpu for worker in group) < need.gpu * step.spec.count:
+    waiting, is_suspect = step.waiting_tasks, isolate.has_suspects(state, step)
+    for group in groups:
+        if not _may_fit(step, group):
             continue
-        placement = _pack(
-            state, waiting, group, step, view, is_suspect=isolate.has_suspects(state, step)
-        )
+        placement = _pack(state, waiting, group, step, view, is_suspect=is_suspect)
         if len(placement) == len(waiting):
             suspect_count = sum(_has_failures(worker, step) for _, worker in placement)
             leaving_count = sum(
@@ -278,7 +289,7 @@
             continue
         if worker.free_gpu >= need.gpu and worker.free_cpu >= need.cpu:
             fits = view.unreserved_room(worker, until_s).count_fitting(
-                need, max_additional_tasks(worker, step)
+                need, rooms.max_additional_tasks(worker, step)
             )
             if fits > 0:
                 slots.append((worker, fits))
@@ -306,4 +317,4 @@
     return placement
 
 
-__all__ = ["FleetView", "Placement", "Room", "find_placement", "max_additional_tasks"]
+__all__ = ["FleetView", "Placement", "find_placement"]
--- a/src/bronzequay/core/preempt.py
+++ b/src/bronzequay/core/preempt.py
@@ -5,13 +5,14 @@
 import collections
 from typing import TYPE_CHECKING
 
-from bronzequay.core import lifecycle, model, order, place, reserve
+from bronzequay.core import lifecycle, model, order, reserve, rooms
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from bronzequay import ids
+    from bronzequay.core.place import FleetView
     from bronzequay.core.state import State, StepRun, Task, Worker
 
     _Option = tuple[float, list[Task]]
@@ -20,8 +21,6 @@
 """Run time between two checkpoints; a stop loses at most this much."""
 RESTORE_S = 0.25
 """Run time that a restart costs; resuming from a checkpoint costs it once more."""
-CORES_PER_GPU = 8.0
-"""Weight of an accelerator in work, in cores."""
 RESERVATION_TIMEOUT_S = 1.5
 """Time after which a preempting reservation expires if its room has not become free."""
 _STOPPABLE_PHASES = frozenset({model.Phase.STARTING, model.Phase.RUNNING})
@@ -32,7 +31,7 @@
 def free_room(
     state: State,
     step: StepRun,
-    view: place.FleetView,
+    view: FleetView,
     may_stop: Callable[[StepRun], bool],
     *,
     max_loss: float,
@@ -51,15 +50,13 @@
     task_count = len(step.waiting_tasks)
     if step.spec.is_gang and task_count < step.spec.count:
         return None
-    best: _Plan | None = None
     costs = _StopCosts(state, may_stop, ignores_estimates=ignores_estimates)
-    for group in view.candidate_groups(step):
-        plan = _Plan(state, step, group, view, costs)
-        if plan.find_victims(task_count, max_loss=max_loss):
-            best, max_loss = plan, plan.cost
-            if not plan.cost:
-                break
-    if best is None:
+    for groups in view.group_tiers(step):
+        plans = (_Plan(state, step, group, view, costs) for group in groups)
+        best = _cheapest(plans, task_count, max_loss=max_loss)
+        if best is not None:
+            break
+    else:
         return None
     state.record_decision(
         "preempting",
@@ -82,6 +79,17 @@
     )
 
 
+def _cheapest(plans: Iterable[_Plan], task_count: int, *, max_loss: float) -> _Plan | None:
+    """Return the plan with the smallest loss, None when each loses too much or frees too little."""
+    best: _Plan | None = None
+    for plan in plans:
+        if plan.find_victims(task_count, max_loss=max_loss):
+            best, max_loss = plan, plan.cost
+            if not plan.cost:
+                break
+    return best
+
+
 class _Plan:
     """Stops that make room for a step in one group of workers."""
 
@@ -90,7 +98,7 @@
         state: State,
         step: StepRun,
         group: list[Worker],
-        view: place.FleetView,
+        view: FleetView,
         costs: _StopCosts,
     ) -> None:
         self._state = state
@@ -98,7 +106,7 @@
         self._costs = costs
         self._group = {worker.spec.worker: worker for worker in group}
         self._max_tasks = {
-            worker_id: place.max_additional_tasks(worker, step)
+            worker_id: rooms.max_additional_tasks(worker, step)
             for worker_id, worker in self._group.items()
         }
         self._rooms = {
@@ -115,18 +123,18 @@
         self.victims: list[Task] = []
         self.cost = 0.0
 
-    def _expected_room(self, worker: Worker, view: place.FleetView) -> place.Room:
+    def _expected_room(self, worker: Worker, view: FleetView) -> rooms.Room:
         room = view.unreserved_room(worker, float("inf"))
         expected = reserve.expected_room(
             self._state, worker, ignores_estimates=self._costs.ignores_estimates
         )
-        return place.Room(
+        return rooms.Room(
             room.cpu + expected.cpu - worker.free_cpu,
             room.mem_mb + expected.mem_mb - worker.free_mem_mb,
             room.gpu + expected.gpu - worker.free_gpu,
         )
 
-    def _count_fitting(self, worker_id: ids.WorkerId, room: place.Room) -> int:
+    def _count_fitting(self, worker_id: ids.WorkerId, room: rooms.Room) -> int:
         return room.count_fitting(self._need, self._max_tasks[worker_id])
 
     def find_victims(self, task_count: int, *, max_loss: float) -> bool:
@@ -159,7 +167,7 @@
         if before >= self._max_tasks[worker_id]:
             return None
         room = self._rooms[worker_id]
-        trial = place.Room(room.cpu, room.mem_mb, room.gpu)
+        trial = rooms.Room(room.cpu, room.mem_mb, room.gpu)
         victims: list[Task] = []
         planned_stops = collections.Counter(key[:3] for key in self._victim_keys)
         cost = 0.0
@@ -252,7 +260,7 @@
     """
     tasks = step.placed_tasks if step.spec.is_gang else [task]
     need = step.spec.need
-    cores = need.cpu / 1000 + CORES_PER_GPU * need.gpu
+    cores = rooms.weight(need.cpu, need.gpu)
     total = 0.0
     for member in tasks:
         ran_s = max(0.0, state.now_s - member.phase_since_s)
@@ -266,7 +274,7 @@
 def step_work(step: StepRun) -> float:
     """Return the estimated work of all tasks of a step, in core-seconds."""
     need = step.spec.need
-    cores = need.cpu / 1000 + CORES_PER_GPU * need.gpu
+    cores = rooms.weight(need.cpu, need.gpu)
     return cores * step.spec.count * step.spec.estimate_s
 
 
--- a/src/bronzequay/core/reserve.py
+++ b/src/bronzequay/core/reserve.py
@@ -8,11 +8,12 @@
 
 from typing import TYPE_CHECKING
 
-from bronzequay.core import model, place
+from bronzequay.core import model, rooms
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
     from bronzequay import ids
+    from bronzequay.core.place import FleetView
     from bronzequay.core.state import State, StepRun, Task, Worker
 
 NEAR_END_S = 0.7
@@ -20,8 +21,6 @@
 OVERRUN_S = 0.3
 """Time past its expected end for which a run still counts as ending; progress is reported every
 second."""
-MAX_STOP_S = 0.9
-"""Longest time from a stop order to the end of the run."""
 REPLAN_S = 1.0
 """Time after which the reservation of a gang that waits for running work to end expires."""
 
@@ -53,7 +52,7 @@
 
 
 def invalid_reason(
-    state: State, step: StepRun, view: place.FleetView, reservation: Reservation
+    state: State, step: StepRun, view: FleetView, reservation: Reservation
 ) -> str | None:
     """Return why a step may not keep waiting for a reservation, None if it may.
 
@@ -75,12 +74,12 @@
     return None
 
 
-def expected_room(state: State, worker: Worker, *, ignores_estimates: bool) -> place.Room:
+def expected_room(state: State, worker: Worker, *, ignores_estimates: bool) -> rooms.Room:
     """Return the room of a worker once all tasks that are about to end have ended.
 
     :param ignores_estimates: whether only tasks that are being stopped count as ending
     """
-    room = place.Room(worker.free_cpu, worker.free_mem_mb, worker.free_gpu)
+    room = rooms.Room(worker.free_cpu, worker.free_mem_mb, worker.free_gpu)
     for task in worker.tasks.values():
         step = state.step_of(task.key)
         if step is not None and is_ending(state, step, task, ignores_estimates=ignores_estimates):
@@ -106,7 +105,7 @@
     return -OVERRUN_S < states.remaining_s(step, task, state.now_s) < NEAR_END_S
 
 
-def find_earliest_room(state: State, step: StepRun, view: place.FleetView) -> Reservation | None:
+def find_earliest_room(state: State, step: StepRun, view: FleetView) -> Reservation | None:
     """Plan a reservation of the room that is first large enough for a gang as running work ends.
 
     :return: the reservation, None when no group of workers is large enough or members of the gang
@@ -114,66 +113,17 @@
     """
     if len(step.waiting_tasks) < step.spec.count:
         return None
-    best: Reservation | None = None
-    for group in view.candidate_groups(step):
-        candidate = _earliest_room_in(state, step, group, view)
-        if candidate is not None and (best is None or candidate.available_s < best.available_s):
-            best = candidate
-    return best
-
-
-def _earliest_room_in(
-    state: State, step: StepRun, group: list[Worker], view: place.FleetView
-) -> Reservation | None:
-    need = states.allocation_of(step.spec)
-    rooms = {worker.spec.worker: view.unreserved_room(worker, float("inf")) for worker in group}
-    limits = {worker.spec.worker: place.max_additional_tasks(worker, step) for worker in group}
-    fit_counts = {
-        worker_id: room.count_fitting(need, limits[worker_id]) for worker_id, room in rooms.items()
-    }
-    total = sum(fit_counts.values())
-    now_s = available_s = state.now_s
-    for wait_s, worker_id, released in sorted(_expected_ends(state, group), key=lambda end: end[0]):
-        if total >= step.spec.count:
-            break
-        rooms[worker_id].release(released)
-        total -= fit_counts[worker_id]
-        fit_counts[worker_id] = rooms[worker_id].count_fitting(need, limits[worker_id])
-        total += fit_counts[worker_id]
-        available_s = now_s + wait_s
-    if total < step.spec.count:
+    *_, groups = view.group_tiers(step)
+    fits = [fit for group in groups if (fit := view.earliest_fit(step, group)) is not None]
+    if not fits:
         return None
-    slots: dict[ids.WorkerId, int] = {}
-    unassigned = step.spec.count
-    for worker_id, count in fit_counts.items():
-        if count and unassigned:
-            slots[worker_id] = min(count, unassigned)
-            unassigned -= slots[worker_id]
+    best = min(fits, key=lambda fit: fit.wait_s)
     return Reservation(
-        slots, available_s=available_s, expires_s=now_s + REPLAN_S, is_preempting=False
+        best.slots,
+        available_s=state.now_s + best.wait_s,
+        expires_s=state.now_s + REPLAN_S,
+        is_preempting=False,
     )
 
 
-def _expected_ends(
-    state: State, group: list[Worker]
-) -> list[tuple[float, ids.WorkerId, model.Resources]]:
-    """Return the expected ends of tasks on some workers: seconds until then, worker, room freed."""
-    ends = []
-    gang_ends: dict[model.StepKey, float] = {}
-    for worker in group:
-        for task in worker.tasks.values():
-            step = state.step_of(task.key)
-            if step is None or step.spec.is_endless:
-                continue
-            if not step.spec.is_gang:
-                remaining_s = states.remaining_s(step, task, state.now_s)
-            else:
-                if step.key not in gang_ends:
-                    gang_ends[step.key] = states.remaining_s(step, task, state.now_s)
-                remaining_s = gang_ends[step.key]
-            wait_s = MAX_STOP_S if task.phase is model.Phase.STOPPING else max(0.0, remaining_s)
-            ends.append((wait_s, worker.spec.worker, states.allocation_of(step.spec)))
-    return ends
-
-
 __all__ = ["Reservation", "expected_room", "find_earliest_room", "invalid_reason", "is_ending"]
--- a/src/bronzequay/core/resize.py
+++ b/src/bronzequay/core/resize.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from bronzequay.core import lifecycle, model, place
+from bronzequay.core import lifecycle, model, rooms
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
@@ -43,7 +43,7 @@
 
     A gang is stopped as a whole. The room of a run that is being stopped counts until its end.
     """
-    room = place.Room(worker.free_cpu, worker.free_mem_mb, worker.free_gpu)
+    room = rooms.Room(worker.free_cpu, worker.free_mem_mb, worker.free_gpu)
     starting = [task for task in worker.tasks.values() if task.phase is model.Phase.STARTING]
     count = 0
     for task in sorted(starting, key=lambda task: task.started_s, reverse=True):
@@ -60,7 +60,7 @@
     return count
 
 
-def _is_exceeded(room: place.Room) -> bool:
+def _is_exceeded(room: rooms.Room) -> bool:
     return room.cpu < 0 or room.mem_mb < 0 or room.gpu < 0
 
 
--- a/src/bronzequay/core/schedule.py
+++ b/src/bronzequay/core/schedule.py
@@ -52,7 +52,7 @@
     upkeep.run(state)
     guaranteed = order.guaranteed_jobs(state)
     ranks = _rank_open_steps(state, guaranteed)
-    view = place.FleetView(state)
+    view = place.FleetView(state, guaranteed)
     reservations, state.reservations = state.reservations, {}
     for key in sorted(ranks, key=lambda key: (key not in reservations, ranks[key])):
         step = state.open_steps[key]
--- /dev/null
+++ b/src/bronzequay/core/spread.py
@@ -0,0 +1,67 @@
+"""Whether a gang waits for a rack that can hold it, or is spread over several racks.
+
+A gang that is spread takes ``State.remote_factor`` times as long, so a wait pays while it is
+shorter than the time that the rack saves. How long running work still takes is only roughly known,
+therefore the time that the gang has already waited counts too.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bronzequay.core import rooms
+from bronzequay.core import state as states
+
+if TYPE_CHECKING:
+    from bronzequay.core.place import FleetView
+    from bronzequay.core.state import State, StepRun, Worker
+
+MAX_IDLE_WAIT_S = 2.0
+"""Longest wait for a rack while the fleet has room to spare, or of guaranteed work: work that
+nothing keeps from running must begin within 3 s, guaranteed work within ``reclaimMs``, 3.4 s."""
+IDLE_SHARE = 0.5
+"""Share of the fleet in use below which it has room to spare."""
+SPARE_ROOM_FACTOR = 2
+"""It has room to spare for a gang if this many such gangs fit."""
+
+
+def waits_for_rack(state: State, step: StepRun, racks: list[list[Worker]], view: FleetView) -> bool:
+    """Return whether a gang goes on waiting until one of some racks can hold it."""
+    max_wait_s = (state.remote_factor - 1) * step.spec.estimate_s
+    if step.spec.is_endless:
+        max_wait_s = MAX_IDLE_WAIT_S
+    elif view.is_guaranteed(step):
+        max_wait_s = min(max_wait_s, MAX_IDLE_WAIT_S)
+    left_s = max_wait_s - waited_s(state, step)
+    if left_s <= 0.0:
+        return False
+    wait_s = min(
+        (fit.wait_s for rack in racks if (fit := view.earliest_fit(step, rack)) is not None),
+        default=float("inf"),
+    )
+    if wait_s >= left_s:
+        return False
+    left_idle_s = left_s - max(0.0, max_wait_s - MAX_IDLE_WAIT_S)
+    return wait_s < left_idle_s or not _has_spare_room(step, view)
+
+
+def waited_s(state: State, step: StepRun) -> float:
+    """Return for how long all tasks of a gang have waited."""
+    since_s = max(task.phase_since_s for task in step.tasks)
+    return state.now_s - max(since_s, step.ready_s or 0.0)
+
+
+def _has_spare_room(step: StepRun, view: FleetView) -> bool:
+    """Return whether the fleet is mostly idle and has room for several such gangs."""
+    used = total = 0.0
+    fitting, need = 0, states.allocation_of(step.spec)
+    for worker in view.permitted_workers(step):
+        capacity = worker.spec.capacity
+        total += rooms.weight(capacity.cpu, capacity.gpu)
+        used += rooms.weight(capacity.cpu - worker.free_cpu, capacity.gpu - worker.free_gpu)
+        limit = rooms.max_additional_tasks(worker, step)
+        fitting += view.unreserved_room(worker, float("inf")).count_fitting(need, limit)
+    return used < IDLE_SHARE * total and fitting >= SPARE_ROOM_FACTOR * step.spec.count
+
+
+__all__ = ["waited_s", "waits_for_rack"]
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -278,6 +278,7 @@
     :ivar now_s: the runtime's clock at the current event
     :ivar wall_s: seconds since the Unix epoch at the current event
     :ivar max_entry_age_s: age of a worker's entry from which its capacity may have changed unseen
+    :ivar remote_factor: slow-down of a task off its data's rack, or of a gang spread over racks
     :ivar entry_lag_s: age at which entries arrive, by the newest of the latest ones
     :ivar is_changed: whether another pass could start or stop more than the last one
     :ivar open_steps: steps that are ready and have waiting tasks
@@ -297,8 +298,15 @@
     :ivar decisions: log entries in the order of the decisions: event, job, inputs
     """
 
-    def __init__(self, rules: model.Rules, *, max_entry_age_s: float = float("inf")) -> None:
+    def __init__(
+        self,
+        rules: model.Rules,
+        *,
+        max_entry_age_s: float = float("inf"),
+        remote_factor: float = 3.0,
+    ) -> None:
         self.rules = rules
+        self.remote_factor = remote_factor
         self.max_entry_age_s = max_entry_age_s
         self.entry_lag_s = 0.0
         self.now_s = 0.0
--- a/tests/core/world.py
+++ b/tests/core/world.py
@@ -140,6 +140,8 @@
             assert step_run.spec.label in worker.spec.labels
         self.highest_runs[key] = start.run
         run_s = step_run.spec.estimate_s * self.rng.uniform(0.5, 2.0)
+        if step_run.spec.is_endless:
+            run_s = float("inf")
         outcome = "failed" if self.rng.random() < self.fail_share else "done"
         self.live_runs[key] = (start, self.now_s + run_s, outcome)
         lifecycle.confirm(self.state, start.worker, key, start.run)
