Only its own answer or the end of its lease ends a worker's life (TWICE)

Cause: the session took three things for the end of an incarnation that do not show it, and the roster ended the runs at once. A refused connection while the worker drains and is not listed: a cut path, a closed or full queue refuse too, and entries go after three silent heartbeats. A 421 at its address: that is another executor, not an end of this one.

Change: runs are freed by the end of the lease, a listed end, or a proven later life: the executor itself answers with another start time, at its address or the one in its new entry, or a later executor of the same machine answers. Until then an entry that names another life is only noted. A renewal that was refused does not extend the lease that is waited for; one whose call ended with an unexpected error does. A listing that does not say of which life it is, is none.

--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -11,7 +11,7 @@
 
 from bronzequay.control import delivery, prefix, session
 from bronzequay.core import lifecycle, losses, model, resize, rollout
-from bronzequay.platform import executor_entries
+from bronzequay.platform import executor_entries, workers
 
 if TYPE_CHECKING:
     from bronzequay import ids
@@ -30,6 +30,9 @@
 MAX_FIRST_LISTINGS = 200
 """First listings that are read at once. A new term reads those of all workers; other calls, the
 watch of their entries above all, must be answered in between."""
+SUCCESSOR_TIMEOUT_S = 1.0
+"""Timeout of a call to a later incarnation at a new address; an answer takes a few milliseconds."""
+SUCCESSOR_RETRY_S = 0.2
 
 _log = structlog.get_logger()
 
@@ -47,6 +50,8 @@
         self._sessions: dict[ids.ExecutorId, session.Session] = {}
         self.first_listings = trio.CapacityLimiter(MAX_FIRST_LISTINGS)
         self._unanswered_starts: dict[ids.ExecutorId, tuple[model.Start, ...]] = {}
+        self._successors: dict[ids.ExecutorId, executor_entries.ExecutorEntry] = {}
+        self._by_machine: dict[ids.MachineId, set[session.Session]] = {}
 
     @property
     def reaches_majority(self) -> bool:
@@ -105,27 +110,90 @@
             return
         if item.value is not None:
             _log.warning("entry_unreadable", executor=executor, revision=item.rev)
+        self._successors.pop(executor, None)
         self._on_unlisted(executor)
 
     def _on_entry(self, entry: executor_entries.ExecutorEntry) -> None:
         current = self._sessions.get(entry.executor)
-        if current is not None and current.worker != entry.spec.worker:
-            self.end_session(current, session.Ending.RESTARTED)
-            current = None
         if current is None:
-            barred = self._unanswered_starts.pop(entry.executor, ())
-            current = session.Session(entry, self._term, barred)
-            self._sessions[entry.executor] = current
-            _log.info("worker_joined", worker=current.worker, barred=len(barred))
-            self._term.post(lambda state: _add_worker(state, entry))
-            self._nursery.start_soon(current.run)
+            self._open_session(entry)
+            return
+        if current.worker != entry.spec.worker:
+            self._on_successor(current, entry)
             return
+        self._successors.pop(entry.executor, None)
         if current.entry.is_draining != entry.is_draining or not current.is_listed:
             _log.info("worker_changed", worker=current.worker, is_draining=entry.is_draining)
         current.entry, current.is_listed = entry, True
         stated_s = current.stated_s
         self._term.post(lambda state: _update_worker(state, entry, stated_s))
 
+    def _open_session(self, entry: executor_entries.ExecutorEntry) -> None:
+        barred = self._unanswered_starts.pop(entry.executor, ())
+        opened = session.Session(entry, self._term, barred)
+        self._sessions[entry.executor] = opened
+        self._by_machine.setdefault(opened.machine, set()).add(opened)
+        _log.info("worker_joined", worker=opened.worker, barred=len(barred))
+        self._term.post(lambda state: _add_worker(state, entry))
+        self._nursery.start_soon(opened.run)
+
+    def _on_successor(
+        self, current: session.Session, entry: executor_entries.ExecutorEntry
+    ) -> None:
+        """Note an entry that names another incarnation than the one that is in session.
+
+        The entry may be late, or of another writer, so that only an answer of the executor ends the
+        session. At an unchanged address the session's own calls receive it.
+        """
+        executor = entry.executor
+        if self._successors.get(executor) == entry:
+            return
+        _log.info("worker_entry_replaced", worker=current.worker, by=entry.spec.worker)
+        self._successors[executor] = entry
+        self._on_unlisted(executor)
+        is_same_machine = entry.spec.machine == current.machine
+        if is_same_machine and entry.address != current.entry.address:
+            self._nursery.start_soon(self._find_successor, current, entry)
+
+    async def _find_successor(
+        self, current: session.Session, entry: executor_entries.ExecutorEntry
+    ) -> None:
+        """Call the address in a new entry until the executor there proves that it is the later one.
+
+        Ends without that once the session is over or the entry is replaced.
+        """
+        client = workers.OrderClient(entry.executor, entry.address, self._term.epoch)
+        try:
+            while self._successors.get(entry.executor) is entry:
+                reply = await client.hold(
+                    last_seen_end=0, deadline_ms=None, wait_s=0.0, timeout_s=SUCCESSOR_TIMEOUT_S
+                )
+                if reply.listing is not None:
+                    self._on_answer_of_successor(current, entry, reply.listing)
+                    return
+                await trio.sleep(SUCCESSOR_RETRY_S)
+        finally:
+            client.close()
+
+    def _on_answer_of_successor(
+        self,
+        current: session.Session,
+        entry: executor_entries.ExecutorEntry,
+        listing: workers.Listing,
+    ) -> None:
+        started = executor_entries.worker_id(entry.executor, listing.started_ms)
+        if started == entry.spec.worker:
+            _log.info("worker_life_over", worker=current.worker, started_ms=listing.started_ms)
+            self.end_session(current, session.Ending.RESTARTED)
+
+    def on_first_listing(self, reached: session.Session) -> None:
+        """End the sessions with earlier executors of a machine, one of which has just answered."""
+        started_s = reached.entry.spec.started_s
+        for other in list(self._by_machine[reached.machine]):
+            if other.entry.spec.started_s < started_s:
+                _log.info("worker_life_over", worker=other.worker, machine_of=reached.worker)
+                self.end_session(other, session.Ending.MACHINE_REUSED)
+
     def _on_unlisted(self, executor: ids.ExecutorId) -> None:
         """Stop placing work on a worker that the store no longer lists."""
         current = self._sessions.get(executor)
@@ -140,15 +208,16 @@
         """End a session whose worker incarnation is over, and the runs of that incarnation.
 
         A start that went unanswered may still reach a later incarnation under the same id, so its
-        run is ended only once that incarnation has barred it. An executor with another id at the
-        address refuses the start.
+        run is ended only once that incarnation has barred it. An executor with another id refuses
+        the start.
         """
         executor = ended.entry.executor
         if self._sessions.get(executor) is not ended:
             return
         del self._sessions[executor]
+        self._by_machine[ended.machine].discard(ended)
         unanswered = ended.close()
-        if ending is session.Ending.ID_REPLACED:
+        if ending is session.Ending.MACHINE_REUSED:
             unanswered = ()
         self._unanswered_starts[executor] = unanswered
         barred = {(start.key, start.run) for start in unanswered}
@@ -158,6 +227,9 @@
         self._term.post(lambda state: _remove_worker(state, ended.worker, barred, loss))
         if unanswered:
             self._nursery.start_soon(self._end_unanswered, executor, unanswered)
+        successor = self._successors.pop(executor, None)
+        if successor is not None:
+            self._open_session(successor)
 
     async def _end_unanswered(
         self, executor: ids.ExecutorId, starts: tuple[model.Start, ...]
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -37,7 +37,16 @@
 MAX_LISTED_ENDS = 500
 """Most ended runs that a worker puts into one listing; a longer list is cut."""
 
-_NOT_SENT = frozenset({workers.Outcome.NOT_SENT, workers.Outcome.NO_LISTENER})
+_NOT_RENEWED = frozenset(
+    {
+        workers.Outcome.NOT_SENT,
+        workers.Outcome.NO_LISTENER,
+        workers.Outcome.OTHER_INCARNATION,
+        workers.Outcome.STALE_EPOCH,
+        workers.Outcome.REFUSED,
+    }
+)
+"""Outcomes of a renewal that has certainly not extended the leases."""
 
 _log = structlog.get_logger()
 
@@ -45,13 +54,17 @@
 class Ending(enum.Enum):
     """How it is known that the incarnation of a session is over.
 
-    RESTARTED: the executor has left, and may have started again under its id. ID_REPLACED: an
-    executor with another id answers at its address and refuses what was sent to this one. LAPSED:
-    its run leases have expired and the store no longer lists it; it may still be running.
+    RESTARTED: the executor has answered that it started at another time. MACHINE_REUSED: an
+    executor with another id, which refuses what was sent to this one, has answered that it started
+    later on the same machine. LAPSED: its run leases have expired and the store no longer lists
+    it; it may still be running.
+
+    Nothing else shows it: neither a refused connection, nor the answer of an unknown executor at
+    its address, nor an entry that is changed or removed.
     """
 
     RESTARTED = "restarted"
-    ID_REPLACED = "id_replaced"
+    MACHINE_REUSED = "machine_reused"
     LAPSED = "lapsed"
 
 
@@ -72,13 +85,14 @@
     ) -> None:
         self.entry = entry
         self.worker = entry.spec.worker
+        self.machine = entry.spec.machine
         self.is_listed = True
         self.delivery = delivery.Delivery(
             entry, term, deadline_ms=self._start_deadline_ms, clock_ms=self._worker_clock_ms
         )
         self._barred = barred
         self._bar_acked_s: dict[model.Start, float] = {}
-        self._earlier_incarnation_replaced_s = clock.boot_s() if barred else float("-inf")
+        self._replaced_s = clock.boot_s() if barred else float("-inf")
         self._term = term
         self._scope = trio.CancelScope()
         self._acked_end = 0
@@ -158,29 +172,17 @@
             return False
         if reply.outcome is workers.Outcome.STALE_EPOCH:
             await self._term.end_if_fenced(self.worker)
-        elif self._is_incarnation_over(reply):
-            _log.info("worker_life_over", worker=self.worker, outcome=reply.outcome.value)
-            self._term.roster.end_session(self, _ending_of(reply))
+        elif reply.listing is not None:
+            _log.info("worker_life_over", worker=self.worker, started_ms=reply.listing.started_ms)
+            self._term.roster.end_session(self, Ending.RESTARTED)
             return True
         is_over = self._on_no_answer()
         await trio.sleep(RETRY_S)
         return is_over
 
-    def _is_incarnation_over(self, reply: workers.Reply) -> bool:
-        """Return whether an answer, or the lack of a listener, shows that the incarnation ended."""
-        has_left = self.entry.is_draining and not self.is_listed
-        return (
-            reply.outcome is workers.Outcome.OTHER_INCARNATION
-            or reply.listing is not None
-            or (has_left and reply.outcome is workers.Outcome.NO_LISTENER)
-        )
-
     def _is_same_incarnation(self, listing: workers.Listing) -> bool:
-        started_ms = listing.started_ms
-        return (
-            started_ms is None
-            or executor_entries.worker_id(self.entry.executor, started_ms) == self.worker
-        )
+        started = executor_entries.worker_id(self.entry.executor, listing.started_ms)
+        return started == self.worker
 
     async def _hold(self) -> workers.Reply:
         """Renew the run leases and read the listing; before the first listing only read it."""
@@ -193,14 +195,18 @@
                 return await self._read_listing()
         # A worker out of contact gets no renewal, so that its leases can expire.
         deadline_ms = self._lease_end_ms() if self.is_in_contact else None
-        reply = await client.hold(
-            last_seen_end=self._acked_end,
-            deadline_ms=deadline_ms,
-            wait_s=self._listing_wait_s(),
-            timeout_s=CALL_TIMEOUT_S,
-        )
-        if deadline_ms is not None and reply.outcome not in _NOT_SENT:
-            self._deadline_ms = max(self._deadline_ms, deadline_ms)
+        reply: workers.Reply | None = None
+        try:
+            reply = await client.hold(
+                last_seen_end=self._acked_end,
+                deadline_ms=deadline_ms,
+                wait_s=self._listing_wait_s(),
+                timeout_s=CALL_TIMEOUT_S,
+            )
+        finally:
+            may_be_renewed = reply is None or reply.outcome not in _NOT_RENEWED
+            if deadline_ms is not None and may_be_renewed:
+                self._deadline_ms = max(self._deadline_ms, deadline_ms)
         return reply
 
     async def _read_listing(self) -> workers.Reply:
@@ -274,11 +280,13 @@
         self._clock_ms = listing.clock_ms
         self._clock_read_s = clock.boot_s()
         self._answered_s = trio.current_time()
-        if clock.boot_s() - self._earlier_incarnation_replaced_s < delivery.MAX_ORDER_DELAY_S:
+        is_first = not self._has_listing
+        if is_first:
+            self._term.roster.on_first_listing(self)
+        if clock.boot_s() - self._replaced_s < delivery.MAX_ORDER_DELAY_S:
             # A renewal sent to the earlier incarnation may still arrive.
             max_run_lease_ms = self._term.max_run_lease_s * 1000
             self._deadline_ms = max(self._deadline_ms, listing.clock_ms + max_run_lease_ms)
-        is_first = not self._has_listing
         self._has_listing, self._is_lost, self._is_unanswered = True, False, False
         durable = self._post(listing, sent_s, is_first=is_first)
         if listing.ended or is_first:
@@ -354,12 +362,6 @@
                 lifecycle.end_run(state, self.worker, task.key, task.run, model.End.NEVER_RAN)
 
 
-def _ending_of(reply: workers.Reply) -> Ending:
-    """Return how an answer, or the lack of a listener, shows that an incarnation is over."""
-    is_other_id = reply.outcome is workers.Outcome.OTHER_INCARNATION
-    return Ending.ID_REPLACED if is_other_id else Ending.RESTARTED
-
-
 def _update_running(state: State, worker: Worker, running: tuple[workers.ActiveRun, ...]) -> None:
     for run in running:
         lifecycle.confirm(state, worker.spec.worker, run.key, run.run)
--- a/src/bronzequay/platform/workers.py
+++ b/src/bronzequay/platform/workers.py
@@ -87,11 +87,11 @@
     """A worker's list of its runs.
 
     :param clock_ms: the worker's clock
-    :param started_ms: start time of the answering incarnation, None when not stated
+    :param started_ms: start time of the answering incarnation
     """
 
     clock_ms: float
-    started_ms: int | None
+    started_ms: int
     running: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
 
@@ -100,13 +100,11 @@
     """Outcome of an order.
 
     :param clock_ms: the worker's clock, None without a body
-    :param started_ms: start time of the answering incarnation, None when not stated
     :param listing: the worker's runs, only after ``hold``
     """
 
     outcome: Outcome
     clock_ms: float | None = None
-    started_ms: int | None = None
     listing: Listing | None = None
 
 
@@ -267,15 +265,17 @@
     if resp.status == 409:  # noqa: PLR2004
         outcome = _OUTCOMES_BY_REASON.get(answer.reason, Outcome.REFUSED)
     listing = None
-    if is_hold and outcome is Outcome.OK and answer.clock_ms is not None:
+    if is_hold and outcome is Outcome.OK:
         try:
-            listing = _decode_listing(answer, answer.clock_ms)
+            listing = _decode_listing(answer)
         except ValueError:
             return Reply(Outcome.UNKNOWN)
-    return Reply(outcome, answer.clock_ms, answer.born, listing)
+    return Reply(outcome, answer.clock_ms, listing)
 
 
-def _decode_listing(answer: _Answer, clock_ms: float) -> Listing:
+def _decode_listing(answer: _Answer) -> Listing:
+    if answer.clock_ms is None or answer.born is None:
+        raise ValueError("the list says neither when nor of which incarnation it is")
     running = tuple(
         ActiveRun(decode_task(row.task), row.run, row.saved or "", row.percent, row.load)
         for row in answer.running
@@ -290,7 +290,7 @@
         )
         for row in answer.ended
     )
-    return Listing(clock_ms, answer.born, running, ended)
+    return Listing(answer.clock_ms, answer.born, running, ended)
 
 
 __all__ = [
