Leases that a session has not granted itself are waited for (TWICE)

- when a worker was lost right after a takeover.
The new term had read its list and granted nothing yet, so the lease counted as over, while the earlier term's renewal still held for up to 5 s;
- when a renewal that an earlier life had left unanswered was carried out by the next one under its id.
Its deadline is on the clock of the earlier life, which was ahead, so that it holds for as long as the worker allows, 10 s.
That was counted only where a start had gone unanswered too.

--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -9,6 +9,7 @@
 import structlog
 import trio
 
+from bronzequay import clock
 from bronzequay.control import delivery, prefix, session
 from bronzequay.core import lifecycle, losses, model, resize, rollout
 from bronzequay.platform import executor_entries, workers
@@ -50,6 +51,7 @@
         self._sessions: dict[ids.ExecutorId, session.Session] = {}
         self.first_listings = trio.CapacityLimiter(MAX_FIRST_LISTINGS)
         self._unanswered_starts: dict[ids.ExecutorId, tuple[model.Start, ...]] = {}
+        self._replaced_s: dict[ids.ExecutorId, float] = {}
         self._successors: dict[ids.ExecutorId, executor_entries.ExecutorEntry] = {}
         self._by_machine: dict[ids.MachineId, set[session.Session]] = {}
 
@@ -130,7 +132,8 @@
 
     def _open_session(self, entry: executor_entries.ExecutorEntry) -> None:
         barred = self._unanswered_starts.pop(entry.executor, ())
-        opened = session.Session(entry, self._term, barred)
+        replaced_s = self._replaced_s.pop(entry.executor, float("-inf"))
+        opened = session.Session(entry, self._term, barred, replaced_s)
         self._sessions[entry.executor] = opened
         self._by_machine.setdefault(opened.machine, set()).add(opened)
         _log.info("worker_joined", worker=opened.worker, barred=len(barred))
@@ -220,6 +223,7 @@
         if ending is session.Ending.MACHINE_REUSED:
             unanswered = ()
         self._unanswered_starts[executor] = unanswered
+        self._replaced_s[executor] = clock.boot_s()
         barred = {(start.key, start.run) for start in unanswered}
         loss = losses.Loss.LAPSED
         if ending is not session.Ending.LAPSED:
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -74,6 +74,7 @@
     :param entry: the executor's entry in the store
     :param term: the term that the session belongs to
     :param barred: unanswered starts sent to an earlier incarnation under the same id
+    :param replaced_s: boot clock when an earlier incarnation under the same id was known to be over
     :ivar is_listed: whether the store still lists the executor
     """
 
@@ -82,6 +83,7 @@
         entry: executor_entries.ExecutorEntry,
         term: Term,
         barred: tuple[model.Start, ...] = (),
+        replaced_s: float = float("-inf"),
     ) -> None:
         self.entry = entry
         self.worker = entry.spec.worker
@@ -92,7 +94,7 @@
         )
         self._barred = barred
         self._bar_acked_s: dict[model.Start, float] = {}
-        self._replaced_s = clock.boot_s() if barred else float("-inf")
+        self._replaced_s = replaced_s
         self._term = term
         self._scope = trio.CancelScope()
         self._acked_end = 0
@@ -283,10 +285,9 @@
         is_first = not self._has_listing
         if is_first:
             self._term.roster.on_first_listing(self)
-        if clock.boot_s() - self._replaced_s < delivery.MAX_ORDER_DELAY_S:
-            # A renewal sent to the earlier incarnation may still arrive.
-            max_run_lease_ms = self._term.max_run_lease_s * 1000
-            self._deadline_ms = max(self._deadline_ms, listing.clock_ms + max_run_lease_ms)
+        self._deadline_ms = max(
+            self._deadline_ms, listing.clock_ms + self._foreign_lease_s(is_first=is_first) * 1000
+        )
         self._has_listing, self._is_lost, self._is_unanswered = True, False, False
         durable = self._post(listing, sent_s, is_first=is_first)
         if listing.ended or is_first:
@@ -295,6 +296,16 @@
             if not scope.cancelled_caught and listing.ended:
                 self._acked_end = max(end.number for end in listing.ended)
 
+    def _foreign_lease_s(self, *, is_first: bool) -> float:
+        """Return for how long a lease may hold that this session has not granted.
+
+        A renewal sent to an earlier incarnation may still arrive, and the clock of that one was
+        ahead. An earlier term may have renewed the lease just before this term's first call.
+        """
+        if clock.boot_s() - self._replaced_s < delivery.MAX_ORDER_DELAY_S:
+            return self._term.max_run_lease_s
+        return RUN_LEASE_S / delivery.MIN_CLOCK_RATE if is_first else 0.0
+
     def _post(self, listing: workers.Listing, sent_s: float, *, is_first: bool) -> trio.Event:
         """Have the newest listing applied; it contains all that a pending older one reports."""
         is_posted = self._pending is not None
--- a/tests/control/test_lives.py
+++ b/tests/control/test_lives.py
@@ -8,8 +8,10 @@
 import pytest
 import trio
 
+from bronzequay.control import session
 from bronzequay.fakes import tasks
 from bronzequay.net import server
+from tests.control.network import SOURCE
 from tests.control.site import gang
 
 if TYPE_CHECKING:
@@ -141,6 +143,48 @@
     assert len(site.events("start")) == 1
 
 
+async def test_a_worker_lost_just_after_a_takeover_keeps_its_tasks_until_its_lease_has_ended(
+    autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch, site: Site
+) -> None:
+    """Guards against a second run when the lease that an earlier term granted is not counted."""
+    _, executor = await run_one(site)
+    read = session.Session._on_listing
+    seen: set[str] = set()
+
+    async def cut_after_first(self: session.Session, *args: Any) -> None:
+        if self.worker.startswith(f"{executor.name}@") and SOURCE.get() == "b" and not seen:
+            seen.add(self.worker)
+            refuse(site, executor)
+        await read(self, *args)
+
+    monkeypatch.setattr(session.Session, "_on_listing", cut_after_first)
+    site.start_scheduler("b")
+    site.kill("a")
+    await site.wait_until(lambda: seen)
+    await check_start_elsewhere(site, executor)
+
+
+async def test_a_renewal_that_reaches_a_later_life_is_counted(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against a second run while a lease of an earlier life's clock holds on."""
+    _, executor = await run_one(site, count=1)
+    await trio.sleep(8.0)
+    executor.unanswered_calls["/hold"] = 1
+    executor.late_effect_s, executor.late_effect_survives_restart = 3.0, True
+    await site.wait_until(lambda: not executor.unanswered_calls["/hold"])
+    site.crash(executor)
+    site.reboot(executor)
+    await site.wait_until(lambda: len(site.events("start")) == 2, timeout_s=4.0)
+    for number in (2, 3):
+        site.add_executor(number)
+    await trio.sleep(3.5)
+    refuse(site, executor)
+    await end_of_lease_s(site, executor)
+    await site.wait_until(lambda: len(site.events("start")) == 3, timeout_s=9.0)
+    site.check_runs()
+
+
 async def test_an_executor_that_is_back_under_its_id_frees_its_tasks_at_once(
     autojump_clock: MockClock, site: Site
 ) -> None:
