--- a/src/bronzequay/core/place.py
+++ b/src/bronzequay/core/place.py
@@ -30,8 +30,10 @@
         self._ends: dict[ids.WorkerId, list[rooms.ExpectedEnd]] = {}
         self._waits_for_rack: dict[model.StepKey, bool] = {}
         self._reserved: dict[ids.WorkerId, list[tuple[float, model.Resources, int]]] = {}
-        self._eligible: dict[tuple[ids.ServiceId, str], list[Worker]] = {}
-        self._with_room: dict[tuple[ids.ServiceId, str], list[Worker]] = {}
+        self._eligible: dict[tuple[ids.ServiceId, str, bool], list[Worker]] = {}
+        self._with_room: dict[tuple[ids.ServiceId, str, bool], list[Worker]] = {}
+        self._idle: dict[ids.ServiceId, bool] = {}
+        self._has_paused = any(is_paused(state, worker) for worker in state.workers.values())
         self._racks: dict[object, list[tuple[int, list[Worker]]]] = {}
         needs = [states.allocation_of(step.spec) for step in state.open_steps.values()]
         self._smallest_need = model.Resources(
@@ -45,11 +47,25 @@
         queue = self._state.queue_of(step.job)
         if queue is None:
             return []
-        key = (queue.service, step.spec.label)
+        includes_paused = self._may_use_paused(step, queue.service)
+        key = (queue.service, step.spec.label, includes_paused)
         if key not in self._eligible:
-            self._eligible[key] = _eligible_workers(self._state, *key)
+            self._eligible[key] = _eligible_workers(
+                self._state, queue.service, step.spec.label, includes_paused=includes_paused
+            )
         return self._eligible[key]
 
+    def _may_use_paused(self, step: StepRun, service: ids.ServiceId) -> bool:
+        """Return whether a step may start on paused workers, since it waits on an idle fleet."""
+        if not self._has_paused or spread.waited_s(self._state, step) < spread.MAX_IDLE_WAIT_S:
+            return False
+        if service not in self._idle:
+            fleet = [worker for worker in self._state.workers.values() if worker.is_ready]
+            self._idle[service] = spread.is_mostly_idle(
+                worker for worker in fleet if worker.spec.service == service
+            )
+        return self._idle[service]
+
     def permitted_workers(self, step: StepRun) -> list[Worker]:
         """Return the eligible workers for which a step has a ticket or needs none."""
         return self._with_tickets(step, self.eligible_workers(step))
@@ -65,7 +81,7 @@
         queue = self._state.queue_of(step.job)
         if queue is None:
             return []
-        key = (queue.service, step.spec.label)
+        key = (queue.service, step.spec.label, self._may_use_paused(step, queue.service))
         if key not in self._with_room:
             smallest = self._smallest_need
             self._with_room[key] = [
@@ -151,7 +167,14 @@
         return room
 
 
-def _eligible_workers(state: State, service: ids.ServiceId, label: str) -> list[Worker]:
+def is_paused(state: State, worker: Worker) -> bool:
+    """Return whether a worker gets no tasks for a while after failures or a refusal."""
+    return worker.quarantined_until_s > state.now_s
+
+
+def _eligible_workers(
+    state: State, service: ids.ServiceId, label: str, *, includes_paused: bool
+) -> list[Worker]:
     return [
         worker
         for worker in state.workers.values()
@@ -163,7 +186,7 @@
         and not worker.stray_runs
         and worker.spec.service == service
         and (not label or label in worker.spec.labels)
-        and worker.quarantined_until_s <= state.now_s
+        and (includes_paused or not is_paused(state, worker))
     ]
 
 
@@ -219,7 +242,7 @@
             continue
         placement = _pack(state, waiting, group, step, view, is_suspect=is_suspect)
         if len(placement) == len(waiting):
-            suspect_count = sum(_has_failures(worker, step) for _, worker in placement)
+            suspect_count = sum(_has_failures(state, worker, step) for _, worker in placement)
             leaving_count = sum(
                 rollout.is_leaving_soon(state, worker, step.spec) for _, worker in placement
             )
@@ -250,9 +273,10 @@
     return placement + _pack(state, others, free, step, view)
 
 
-def _has_failures(worker: Worker, step: StepRun) -> bool:
+def _has_failures(state: State, worker: Worker, step: StepRun) -> bool:
     """Return whether jobs failed on a worker since its last success, or this step failed there."""
-    return bool(worker.failed_jobs) or worker.spec.machine in step.failed_machines
+    has_failed = bool(worker.failed_jobs) or worker.spec.machine in step.failed_machines
+    return has_failed or is_paused(state, worker)
 
 
 def _is_off_data_rack(workers: Iterable[Worker], step: StepRun) -> bool:
@@ -296,7 +320,7 @@
     slots.sort(
         key=lambda slot: (
             len(slot[0].tasks) if is_suspect else 0,
-            _has_failures(slot[0], step),
+            _has_failures(state, slot[0], step),
             bool(rack) and slot[0].spec.rack != rack,
             rollout.is_leaving_soon(state, slot[0], step.spec),
             free_gpus_by_rack[slot[0].spec.rack],
--- a/src/bronzequay/core/spread.py
+++ b/src/bronzequay/core/spread.py
@@ -13,6 +13,8 @@
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from bronzequay.core.place import FleetView
     from bronzequay.core.state import State, StepRun, Worker
 
@@ -46,22 +48,33 @@
 
 
 def waited_s(state: State, step: StepRun) -> float:
-    """Return for how long all tasks of a gang have waited."""
-    since_s = max(task.phase_since_s for task in step.tasks)
+    """Return for how long a gang, or the first of several single tasks, has waited."""
+    waiting_s = [task.phase_since_s for task in step.waiting_tasks]
+    since_s = max(waiting_s, default=0.0) if step.spec.is_gang else min(waiting_s, default=0.0)
     return state.now_s - max(since_s, step.ready_s or 0.0)
 
 
-def _has_spare_room(step: StepRun, view: FleetView) -> bool:
-    """Return whether the fleet is mostly idle and has room for several such gangs."""
+def is_mostly_idle(workers: Iterable[Worker]) -> bool:
+    """Return whether less than ``IDLE_SHARE`` of the workers' capacity is in use."""
     used = total = 0.0
-    fitting, need = 0, states.allocation_of(step.spec)
-    for worker in view.permitted_workers(step):
+    for worker in workers:
         capacity = worker.spec.capacity
         total += rooms.weight(capacity.cpu, capacity.gpu)
         used += rooms.weight(capacity.cpu - worker.free_cpu, capacity.gpu - worker.free_gpu)
-        limit = rooms.max_additional_tasks(worker, step)
-        fitting += view.unreserved_room(worker, float("inf")).count_fitting(need, limit)
-    return used < IDLE_SHARE * total and fitting >= SPARE_ROOM_FACTOR * step.spec.count
+    return used < IDLE_SHARE * total
+
+
+def _has_spare_room(step: StepRun, view: FleetView) -> bool:
+    """Return whether the fleet is mostly idle and has room for several such gangs."""
+    workers = view.permitted_workers(step)
+    need = states.allocation_of(step.spec)
+    fitting = sum(
+        view.unreserved_room(worker, float("inf")).count_fitting(
+            need, rooms.max_additional_tasks(worker, step)
+        )
+        for worker in workers
+    )
+    return fitting >= SPARE_ROOM_FACTOR * step.spec.count and is_mostly_idle(workers)
 
 
-__all__ = ["waited_s", "waits_for_rack"]
+__all__ = ["MAX_IDLE_WAIT_S", "is_mostly_idle", "waited_s", "waits_for_rack"]
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -189,6 +189,7 @@
     :ivar has_begun: whether any task was ever started
     :ivar begun_s: when the first task was started, in seconds since the Unix epoch
     :ivar reason: explanation of a failure or cancellation
+    :ivar failed_machines: machines on which its runs have failed since one last succeeded
     :ivar paths: longest paths through the steps, None before they are needed
     """
 
@@ -200,6 +201,7 @@
         self.has_begun = False
         self.begun_s = 0.0
         self.reason = ""
+        self.failed_machines: set[ids.MachineId] = set()
         self.paths: order.Paths | None = None
 
     @property
--- a/tests/core/world.py
+++ b/tests/core/world.py
@@ -76,6 +76,7 @@
     :ivar highest_runs: highest run number by task
     :ivar failed_runs: failed runs by task, or by job and step of a gang
     :ivar outcomes: outcomes of retired jobs
+    :ivar failing_jobs: jobs whose runs fail 0.3 s after each start
     :ivar shrunk_workers: workers whose runs may exceed their capacity, since it has shrunk
     """
 
@@ -88,6 +89,7 @@
         self.highest_runs: dict[model.TaskKey, int] = {}
         self.failed_runs: dict[object, set[int]] = {}
         self.outcomes: dict[ids.JobId, model.JobState] = {}
+        self.failing_jobs: set[ids.JobId] = set()
         self.shrunk_workers: set[ids.WorkerId] = set()
         self.now_s = 0.0
 
@@ -143,6 +145,8 @@
         if step_run.spec.is_endless:
             run_s = float("inf")
         outcome = "failed" if self.rng.random() < self.fail_share else "done"
+        if key.job in self.failing_jobs:
+            run_s, outcome = 0.3, "failed"
         self.live_runs[key] = (start, self.now_s + run_s, outcome)
         lifecycle.confirm(self.state, start.worker, key, start.run)
 
