Urgent gangs count on stops before they are spread

The work that may be stopped is decided in one place, `order.may_stop`.

Measured: the new test fails without the change.

--- a/src/bronzequay/core/order.py
+++ b/src/bronzequay/core/order.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Set as AbstractSet
 
     from bronzequay import ids
     from bronzequay.core import model
@@ -69,6 +70,19 @@
     return queue is not None and queue.priority == 0 and not job.is_final
 
 
+def may_stop(
+    state: State, other: StepRun, guaranteed: AbstractSet[ids.JobId], *, is_guaranteed: bool
+) -> bool:
+    """Return whether tasks of another step may be stopped for an urgent one.
+
+    :param guaranteed: jobs that the guarantees of their organisations cover
+    :param is_guaranteed: whether the urgent step belongs to one of them
+    """
+    if other.job.spec.job in guaranteed:
+        return False
+    return is_guaranteed or not (other.spec.is_endless or is_urgent(state, other.job))
+
+
 def largest_step_gpus(job: Job) -> int:
     """Return the accelerators that the largest step of a job needs."""
     return max(step.count * step.need.gpu for step in job.spec.steps)
@@ -141,5 +155,6 @@
     "guaranteed_jobs",
     "is_urgent",
     "largest_step_gpus",
+    "may_stop",
     "rank",
 ]
--- a/src/bronzequay/core/place.py
+++ b/src/bronzequay/core/place.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from bronzequay.core import advice, isolate, model, rollout, rooms, spread
+from bronzequay.core import advice, isolate, lifecycle, model, order, rollout, rooms, spread
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
@@ -22,12 +22,19 @@
 
     :param state: state whose open steps the pass goes through
     :param guaranteed: jobs that the guarantees of their organisations cover
+    :param being_freed: steps for which room is being freed by stops
     """
 
-    def __init__(self, state: State, guaranteed: AbstractSet[ids.JobId] = frozenset()) -> None:
+    def __init__(
+        self,
+        state: State,
+        guaranteed: AbstractSet[ids.JobId] = frozenset(),
+        being_freed: AbstractSet[model.StepKey] = frozenset(),
+    ) -> None:
         self._state = state
+        self.being_freed = being_freed
         self._guaranteed = guaranteed
-        self._ends: dict[ids.WorkerId, list[rooms.ExpectedEnd]] = {}
+        self._ends: dict[tuple[ids.WorkerId, bool, bool], list[rooms.ExpectedEnd]] = {}
         self._waits_for_rack: dict[model.StepKey, bool] = {}
         self._reserved: dict[ids.WorkerId, list[tuple[float, model.Resources, int]]] = {}
         self._eligible: dict[tuple[ids.ServiceId, str, bool], list[Worker]] = {}
@@ -129,22 +136,38 @@
         """Return whether the guarantee of its organisation covers a step."""
         return step.job.spec.job in self._guaranteed
 
-    def earliest_fit(self, step: StepRun, group: list[Worker]) -> rooms.Fit | None:
+    def earliest_fit(
+        self, step: StepRun, group: list[Worker], *, with_stops: bool = False
+    ) -> rooms.Fit | None:
         """Return the room for a gang that is first large enough as running work ends.
 
+        :param with_stops: whether an urgent gang counts on stops of other work, whatever they lose
         :return: the room, None when the group is never large enough
         """
+        with_stops = with_stops and order.is_urgent(self._state, step.job)
+        is_guaranteed = with_stops and self.is_guaranteed(step)
         return rooms.earliest_fit(
             step,
             group,
             room_of=lambda worker: self.unreserved_room(worker, float("inf")),
-            ends_of=self._expected_ends,
+            ends_of=lambda worker: self._expected_ends(
+                worker, with_stops=with_stops, is_guaranteed=is_guaranteed
+            ),
         )
 
-    def _expected_ends(self, worker: Worker) -> list[rooms.ExpectedEnd]:
-        if worker.spec.worker not in self._ends:
-            self._ends[worker.spec.worker] = rooms.expected_ends(self._state, worker)
-        return self._ends[worker.spec.worker]
+    def _expected_ends(
+        self, worker: Worker, *, with_stops: bool, is_guaranteed: bool
+    ) -> list[rooms.ExpectedEnd]:
+        def may_stop(other: StepRun) -> bool:
+            may = order.may_stop(self._state, other, self._guaranteed, is_guaranteed=is_guaranteed)
+            return may and lifecycle.may_stop_another(other)
+
+        key = (worker.spec.worker, with_stops, is_guaranteed)
+        if key not in self._ends:
+            self._ends[key] = rooms.expected_ends(
+                self._state, worker, may_stop if with_stops else None
+            )
+        return self._ends[key]
 
     def reserve(
         self, worker: ids.WorkerId, need: model.Resources, count: int, available_s: float
--- a/src/bronzequay/core/rooms.py
+++ b/src/bronzequay/core/rooms.py
@@ -94,14 +94,21 @@
     )
 
 
-def expected_ends(state: State, worker: Worker) -> list[ExpectedEnd]:
-    """Return the expected ends of a worker's tasks; those of services never end."""
+def expected_ends(
+    state: State, worker: Worker, may_stop: Callable[[StepRun], bool] | None = None
+) -> list[ExpectedEnd]:
+    """Return the expected ends of a worker's tasks; those of services never end by themselves.
+
+    :param may_stop: whether tasks of a step can be stopped now, None when no task can
+    """
     ends = []
     for task in worker.tasks.values():
         step = state.step_of(task.key)
         if step is None:
             continue
         if task.phase is model.Phase.STOPPING:
+            wait_s = max(0.0, MAX_STOP_S - (state.now_s - task.phase_since_s))
+        elif may_stop is not None and may_stop(step):
             wait_s = MAX_STOP_S
         elif step.spec.is_endless:
             continue
--- a/src/bronzequay/core/schedule.py
+++ b/src/bronzequay/core/schedule.py
@@ -52,8 +52,9 @@
     upkeep.run(state)
     guaranteed = order.guaranteed_jobs(state)
     ranks = _rank_open_steps(state, guaranteed)
-    view = place.FleetView(state, guaranteed)
     reservations, state.reservations = state.reservations, {}
+    being_freed = {key for key, held in reservations.items() if held.is_preempting}
+    view = place.FleetView(state, guaranteed, being_freed)
     for key in sorted(ranks, key=lambda key: (key not in reservations, ranks[key])):
         step = state.open_steps[key]
         state.considered_job = key.job
@@ -144,11 +145,8 @@
         return None
 
     def may_stop(other: StepRun) -> bool:
-        if other.job.spec.job in guaranteed:
-            return False
-        if other.spec.is_endless and tier is not order.Tier.GUARANTEED:
-            return False
-        return tier is order.Tier.GUARANTEED or not order.is_urgent(state, other.job)
+        is_guaranteed = tier is order.Tier.GUARANTEED
+        return order.may_stop(state, other, guaranteed, is_guaranteed=is_guaranteed)
 
     if tier in MAX_LOSS_FACTORS:
         max_loss = MAX_LOSS_FACTORS[tier] * preempt.step_work(step)
--- a/src/bronzequay/core/spread.py
+++ b/src/bronzequay/core/spread.py
@@ -29,22 +29,18 @@
 
 def waits_for_rack(state: State, step: StepRun, racks: list[list[Worker]], view: FleetView) -> bool:
     """Return whether a gang goes on waiting until one of some racks can hold it."""
-    max_wait_s = (state.remote_factor - 1) * step.spec.estimate_s
+    idle_limit_s = MAX_IDLE_WAIT_S + (rooms.MAX_STOP_S if step.key in view.being_freed else 0.0)
+    limit_s = (state.remote_factor - 1) * step.spec.estimate_s
     if step.spec.is_endless:
-        max_wait_s = MAX_IDLE_WAIT_S
+        limit_s = idle_limit_s
     elif view.is_guaranteed(step):
-        max_wait_s = min(max_wait_s, MAX_IDLE_WAIT_S)
-    left_s = max_wait_s - waited_s(state, step)
-    if left_s <= 0.0:
+        limit_s = min(limit_s, idle_limit_s)
+    has_waited_s = waited_s(state, step)
+    if has_waited_s >= limit_s:
         return False
-    wait_s = min(
-        (fit.wait_s for rack in racks if (fit := view.earliest_fit(step, rack)) is not None),
-        default=float("inf"),
-    )
-    if wait_s >= left_s:
-        return False
-    left_idle_s = left_s - max(0.0, max_wait_s - MAX_IDLE_WAIT_S)
-    return wait_s < left_idle_s or not _has_spare_room(step, view)
+    fits = [view.earliest_fit(step, rack, with_stops=True) for rack in racks]
+    total_s = has_waited_s + min((fit.wait_s for fit in fits if fit), default=float("inf"))
+    return total_s < limit_s and (total_s < idle_limit_s or not _has_spare_room(step, view))
 
 
 def waited_s(state: State, step: StepRun) -> float:
--- a/tests/core/test_spread.py
+++ b/tests/core/test_spread.py
@@ -239,3 +239,21 @@
             worker.quarantined_until_s = fleet.now_s + rng.choice([1.0, 40.0])
         fleet.advance(0.25)
         checker.check()
+
+
+def test_guaranteed_work_waits_for_the_rack_that_is_being_freed_for_it() -> None:
+    """Guards against stops in a rack for a gang that is then spread over others."""
+    state = build_state(RACKS * PER_RACK, per_rack=PER_RACK)
+    for rack in range(RACKS):
+        other = world.step(1, data_rack=f"r{rack}", estimate_s=30.0)
+        lifecycle.accept(state, world.job(rack + 1, other, priority=2, org="none"))
+    confirm_starts(state, run_pass(state))
+    state.rules.guaranteed_gpus[ids.OrgId("big")] = 8 * PER_RACK
+    gang = world.step(PER_RACK, gpu=8, is_gang=True, same_rack=True, estimate_s=30.0)
+    lifecycle.accept(state, world.job(9, gang, priority=0, accepted_s=0.1))
+    commands = run_pass(state, 1.0)
+    (stop,) = stops(commands)
+    assert starts(commands) == []
+    assert started_at(state, [1.5, 2.2, 2.4]) is None
+    lifecycle.end_run(state, stop.worker, stop.key, stop.run, model.End.STOPPED)
+    assert started_at(state, [2.6]) == (2.6, {state.workers[stop.worker].spec.rack})
