A public route reaches only the jobs of its own queue

Cause: a job was visible to its organisation and through each public route. Jobs without an organisation were visible through each other's routes too.

Change: visible are the jobs of the caller's organisation, and through a public route those of its queue; any other id gets 410, as an unknown one.

Measured: the new test fails before the change.

--- a/src/bronzequay/front/handler.py
+++ b/src/bronzequay/front/handler.py
@@ -236,8 +236,9 @@
     if item is None or item.value is None:
         return None
     job_status = status.decode(item.value)
-    is_visible = job_req.org == job_status.org or job_req.route.is_public
-    return job_status if is_visible else None
+    is_own = job_req.org != NO_ORG and job_req.org == job_status.org
+    is_public = job_req.route.is_public and job_req.route.queue == job_status.queue
+    return job_status if is_own or is_public else None
 
 
 def _timeout_s(req: server.Request) -> float:
--- a/tests/front/test_handler.py
+++ b/tests/front/test_handler.py
@@ -203,3 +203,22 @@
     """Guards against a header that makes the handler fail with an unexpected error."""
     send = await site.start_front("f", headers={"deadline-ms": text})
     assert (await send("POST", f"/q1/{JOB}", BODY)).status == 200
+
+
+async def test_a_public_route_shows_and_cancels_only_jobs_of_its_own_queue(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against callers without a key who reach jobs of private queues by their ids."""
+    routes = [{**route, "public": route["name"] == "q2"} for route in CONFIG["routes"]]
+    site.configure({**CONFIG, "version": 2, "routes": routes})
+    send = await site.start_front("f")
+    public_job = "11ff11ff11ff11ff"
+    assert (await send("POST", f"/q1/{JOB}", BODY, "key-one")).status == 200
+    assert (await send("POST", f"/q2/{public_job}", BODY, "")).status == 200
+    for method in ("GET", "DELETE"):
+        assert (await send(method, f"/q2/{JOB}", None, "")).status == 410
+        assert (await send(method, f"/q1/{JOB}", None, "key-two")).status == 410
+        assert (await send(method, f"/q1/{public_job}", None, "key-one")).status == 410
+    assert body_of(await send("GET", f"/q1/{JOB}", None, "key-one")) == {"state": "queued"}
+    assert (await send("GET", f"/q2/{public_job}", None, "")).status == 200
+    assert site.kv.get(keys.CANCELS + JOB) is None
