--- a/src/bronzequay/core/losses.py
+++ b/src/bronzequay/core/losses.py
@@ -95,6 +95,7 @@
     )
     if loss is Loss.CRASHED:
         state.lost_workers.append(_as_lost(state, worker))
+        state.lapsed_tasks.pop(worker.spec.worker, None)
     if loss not in _COUNTED_LOSSES:
         return
     begun = [task for task in tasks if _may_have_begun(worker, task)]
@@ -115,11 +116,10 @@
 
 def forgive(state: State, worker: Worker) -> None:
     """Take back the crashes of a worker that was only unreachable."""
-    for task, was_starting in worker.lapsed_tasks:
+    for task, was_starting in state.lapsed_tasks.pop(worker.spec.worker, ()):
         task.crashes = max(0, task.crashes - 1)
         task.fatal_starts = max(0, task.fatal_starts - was_starting)
         state.dirty_jobs.update({task.key.job} & state.jobs.keys())
-    worker.lapsed_tasks = []
 
 
 def clear_suspects(state: State, worker: Worker) -> None:
@@ -161,7 +161,7 @@
         # Excused tasks are suspected all the same, so that they are not excused again.
         _suspect(state, [task for task in excused if _was_starting(task)])
     else:
-        worker.lapsed_tasks = [(task, task in starting) for task in suspects]
+        state.lapsed_tasks[worker.spec.worker] = [(task, task in starting) for task in suspects]
     _give_up(state, worker.spec.worker, starting or suspects, is_certain=is_certain)
     if starting:
         _give_up(state, worker.spec.worker, suspects, is_certain=False)
@@ -280,9 +280,10 @@
 
 
 def _as_lost(state: State, worker: Worker) -> LostWorker:
-    lapsed = [task for task, _ in worker.lapsed_tasks]
+    lapsed_tasks = state.lapsed_tasks.get(worker.spec.worker, ())
+    lapsed = [task for task, _ in lapsed_tasks]
     steps = frozenset(model.StepKey(*task.key[:3]) for task in (*worker.tasks.values(), *lapsed))
-    had_starting_tasks = any(was_starting for _, was_starting in worker.lapsed_tasks) or any(
+    had_starting_tasks = any(was_starting for _, was_starting in lapsed_tasks) or any(
         _may_have_begun(worker, task) and _was_starting(task) for task in worker.tasks.values()
     )
     return LostWorker(worker.spec.rack, worker.heard_s, state.now_s, steps, had_starting_tasks)
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -243,8 +243,6 @@
     :ivar stated_s: when it wrote the entry that states its capacity, infinity if unknown
     :ivar joined_s: when it was added
     :ivar heard_s: when its last listing arrived, or when it was added
-    :ivar lapsed_tasks: tasks whose runs were given up as its leases lapsed, and whether they were
-        starting then
     :ivar is_held_for_upkeep: gets no tasks because its machine is next in a wave of upkeep
     :ivar departure_s: when a draining worker is expected to leave
     :ivar quarantined_until_s: until when it gets no tasks
@@ -264,7 +262,6 @@
         self.is_silent = False
         self.stated_s = float("inf")
         self.joined_s = self.heard_s = 0.0
-        self.lapsed_tasks: list[tuple[Task, bool]] = []
         self.is_draining = False
         self.is_held_for_upkeep = False
         self.departure_s: float | None = None
@@ -288,6 +285,8 @@
     :ivar orphaned_tasks: tasks placed on workers that have not joined, by worker
     :ivar suspect_steps: steps with tasks whose workers crashed as they started
     :ivar lost_workers: workers that crashed a short time ago
+    :ivar lapsed_tasks: by worker, tasks whose runs were given up as its leases lapsed, and whether
+        they were starting then
     :ivar considered_job: job that is being decided about, to be named if that fails
     :ivar dirty_jobs: jobs whose record changed
     :ivar retired_jobs: jobs that have ended and have no placed tasks, until they are committed
@@ -321,6 +320,7 @@
         self.orphaned_tasks: dict[ids.WorkerId, dict[model.TaskKey, Task]] = {}
         self.suspect_steps: set[model.StepKey] = set()
         self.lost_workers: list[losses.LostWorker] = []
+        self.lapsed_tasks: dict[ids.WorkerId, list[tuple[Task, bool]]] = {}
         self.considered_job: ids.JobId | None = None
         self.dirty_jobs: set[ids.JobId] = set()
         self.retired_jobs: list[Job] = []
--- a/tests/control/test_crash.py
+++ b/tests/control/test_crash.py
@@ -254,3 +254,29 @@
     await trio.sleep(8.0)
     (step,) = site.terms["a"]._state.jobs[job].steps()
     assert (step.tasks[0].phase, step.tasks[0].crashes) == (model.Phase.WAITING, 0)
+
+
+async def test_a_lasting_job_is_kept_though_its_workers_are_cut_off_again_and_again(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against cut-offs that count as crashes once the store has removed the entries."""
+    for number in range(4):
+        site.add_executor(number).beats = True
+    site.start_scheduler("a")
+    job = site.submit(
+        model.Step(need=ONE_GPU, estimate_s=60.0, is_endless=True), plan=tasks.Plan(lasts=True)
+    )
+    for _ in range(7):
+        await site.wait_until(lambda: any(e.runs for e in site.world.executors.values()))
+        await trio.sleep(2.0)
+        (busy,) = [e for e in site.world.executors.values() if e.runs]
+        busy.beats = False
+        site.network.refused.add(("a", busy.address))
+        await trio.sleep(4.5)
+        site.kv.delete(f"servers/{busy.name}")
+        await trio.sleep(2.0)
+        site.network.refused.clear()
+        busy.beats = True
+        await trio.sleep(2.0)
+        assert site.state(job) == "running"
+    site.check_runs()
