Attempts that fail while a queue is removed are judged when it is back (BUDGET)

Cause: a failure was compared with the limit only when it happened, and without the queue there is no limit.

Change: such steps are remembered, also over a takeover, and judged in the first pass that knows their queue. Attempts have a module of their own.

Measured: the two cases of the new test fail before the change.

--- a/src/bronzequay/core/lifecycle.py
+++ b/src/bronzequay/core/lifecycle.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from bronzequay.core import health, model, occurrences
+from bronzequay.core import attempts, health, model, occurrences
 from bronzequay.core import state as states
 
 if TYPE_CHECKING:
@@ -232,7 +232,7 @@
     if step.is_done or step.job.is_final:
         return
     if end is model.End.FAILED:
-        _count_failure(state, step, task, worker)
+        attempts.record_failure(state, step, task, worker)
     if step.spec.is_gang and end in _UNREPORTED_ENDS:
         for other in step.placed_tasks:
             stop(state, other)
@@ -240,21 +240,6 @@
         occurrences.open_step(state, step)
 
 
-def _count_failure(state: State, step: StepRun, task: Task, worker: ids.WorkerId) -> None:
-    task.failures += 1
-    if step.spec.is_gang and step.failed_run != task.run:
-        step.failed_run = task.run
-        step.failures += 1
-    queue = state.queue_of(step.job)
-    if queue is None or step.spec.is_endless:
-        return
-    failures = step.failures if step.spec.is_gang else task.failures
-    if failures >= queue.attempts:
-        subject = "the gang" if step.spec.is_gang else f"task {task.key.number}"
-        reason = f"{subject} of step {step.number} failed {failures} times, last on {worker}"
-        end_job(state, step.job, model.JobState.FAILED, reason)
-
-
 def _complete_step(state: State, step: StepRun) -> None:
     step.is_done = True
     job = step.job
--- a/src/bronzequay/core/records.py
+++ b/src/bronzequay/core/records.py
@@ -192,6 +192,8 @@
         task.confirmed_crashes = task_record.confirmed_crashes
         if task.fatal_starts:
             state.suspect_steps.add(step.key)
+        if task.failures:
+            state.unjudged_steps.add(step.key)
         task.checkpoint = task_record.checkpoint
         task.phase_since_s = task.started_s = state.now_s
         if task_record.worker != NOT_PLACED:
--- a/src/bronzequay/core/schedule.py
+++ b/src/bronzequay/core/schedule.py
@@ -6,6 +6,7 @@
 
 from bronzequay.core import (
     advice,
+    attempts,
     isolate,
     lifecycle,
     occurrences,
@@ -47,6 +48,7 @@
     """
     state.is_changed = False
     _open_due_occurrences(state)
+    attempts.judge(state)
     lifecycle.stop_partial_gangs(state)
     isolate.drop_cleared_steps(state)
     upkeep.run(state)
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -283,6 +283,7 @@
     :ivar open_steps: steps that are ready and have waiting tasks
     :ivar reservations: room that steps wait for
     :ivar orphaned_tasks: tasks placed on workers that have not joined, by worker
+    :ivar unjudged_steps: steps with failed runs whose queue was not in the configuration
     :ivar suspect_steps: steps with tasks whose workers crashed as they started
     :ivar lost_workers: workers that crashed a short time ago
     :ivar lapsed_tasks: by worker, tasks whose runs were given up as its leases lapsed, and whether
@@ -318,6 +319,7 @@
         self.open_steps: dict[model.StepKey, StepRun] = {}
         self.reservations: dict[model.StepKey, reserve.Reservation] = {}
         self.orphaned_tasks: dict[ids.WorkerId, dict[model.TaskKey, Task]] = {}
+        self.unjudged_steps: set[model.StepKey] = set()
         self.suspect_steps: set[model.StepKey] = set()
         self.lost_workers: list[losses.LostWorker] = []
         self.lapsed_tasks: dict[ids.WorkerId, list[tuple[Task, bool]]] = {}
--- a/tests/core/test_lifecycle.py
+++ b/tests/core/test_lifecycle.py
@@ -259,3 +259,24 @@
     began_s = time.process_time()
     run_pass(state, 0.0)
     assert time.process_time() - began_s < lease.TTL_S
+
+
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_a_task_without_attempts_left_is_not_started_when_its_queue_is_back(is_gang: bool) -> None:
+    """Guards against one attempt too many after the queue was removed and added again."""
+    state = build_state(4)
+    lifecycle.accept(state, world.job(1, world.step(2, is_gang=is_gang)))
+    queue = ids.QueueId("q1")
+    attempts = state.rules.queues[queue].attempts
+    for number in range(attempts):
+        started = starts(run_pass(state, float(number)))
+        confirm_starts(state, [*started])
+        if number == attempts - 1:
+            removed = state.rules.queues.pop(queue)
+        finish(state, started[0], model.End.FAILED)
+        for start in started[1:]:
+            finish(state, start, model.End.BROKEN if is_gang else model.End.DONE)
+    assert starts(run_pass(state, 10.0)) == []
+    state.rules.queues[queue] = removed
+    assert starts(run_pass(state, 11.0)) == []
+    assert state.retired_jobs[0].state is model.JobState.FAILED
