Each service has its own majority of workers (LOST beside foreign entries)

Cause: a new term gives up the runs on workers that it cannot reach only after it has reached more than half of all entries, and foreign ones count as workers. Leaving out services that the configuration does not name would make terms with different configurations disagree about what half is, and with that allow two runs of a task.

Change: the majority counts per service, for the leases that a term renews without trust in its own, and for those of earlier terms. The record of a run names its worker's service; for records without it all entries count, as before.

Measured: the new test fails before the change.

--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -55,11 +55,20 @@
         self._successors: dict[ids.ExecutorId, executor_entries.ExecutorEntry] = {}
         self._by_machine: dict[ids.MachineId, set[session.Session]] = {}
 
-    @property
-    def reaches_majority(self) -> bool:
-        """Return whether more than half of the workers accept this term's calls."""
-        reached = sum(open_session.is_in_contact for open_session in self._sessions.values())
-        return reached * 2 > len(self._sessions)
+    def services(self) -> set[ids.ServiceId]:
+        """Return the services that have workers."""
+        return {open_session.service for open_session in self._sessions.values()}
+
+    def reaches_majority(self, service: ids.ServiceId) -> bool:
+        """Return whether more than half of a service's workers accept this term's calls.
+
+        Each service counts by itself, so that entries of services which this term does not use do
+        not matter, and terms with different configurations agree. All workers count for a service
+        that has none.
+        """
+        mates = [other for other in self._sessions.values() if other.service == service]
+        mates = mates or list(self._sessions.values())
+        return sum(mate.is_in_contact for mate in mates) * 2 > len(mates)
 
     def dispatch(self, command: model.Command) -> None:
         """Pass an order to its worker's session; drop it if that incarnation has ended."""
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -88,6 +88,7 @@
         self.entry = entry
         self.worker = entry.spec.worker
         self.machine = entry.spec.machine
+        self.service = entry.spec.service
         self.is_listed = True
         self.delivery = delivery.Delivery(
             entry, term, deadline_ms=self._start_deadline_ms, clock_ms=self._worker_clock_ms
@@ -164,7 +165,7 @@
 
     async def _renew_once(self) -> bool:
         """Make one call and apply its answer; return whether the incarnation is over."""
-        if not self._term.may_renew_run_leases:
+        if not self._term.may_renew_run_leases(self.service):
             await trio.sleep(RETRY_S)
             return False
         sent_s = trio.current_time()
@@ -239,7 +240,7 @@
     def _are_leases_expired(self) -> bool:
         """Return whether the worker's run leases have certainly expired."""
         if self._clock_ms is None:
-            return self._term.are_earlier_leases_expired
+            return self._term.are_earlier_leases_expired(self.service)
         passed_s = (clock.boot_s() - self._clock_read_s) * delivery.MIN_CLOCK_RATE
         return self._clock_ms + passed_s * 1000 > self._deadline_ms
 
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -81,7 +81,7 @@
         )
         self._posts: list[tuple[StateChange, trio.Event]] = []
         self._wake = trio.Event()
-        self._first_majority_s: float | None = None
+        self._first_majority_s: dict[ids.ServiceId, float] = {}
         self._fence_checked_s = float("-inf")
         self._last_pass_s = float("-inf")
         self._next_pass_s = 0.0
@@ -110,28 +110,25 @@
                 return
             await trio.sleep(TRUST_POLL_S)
 
-    @property
-    def may_renew_run_leases(self) -> bool:
-        """Return whether the leases of running tasks may be renewed.
+    def may_renew_run_leases(self, service: ids.ServiceId) -> bool:
+        """Return whether the leases of tasks on a service's workers may be renewed.
 
-        Without a trusted leader lease this requires contact with more than half of the workers: a
+        Without a trusted leader lease this requires contact with more than half of these workers: a
         later term that reaches as many has fenced this one on at least one of them.
         """
         leader_lease = self._lease
         return leader_lease.is_trusted or (
-            not leader_lease.is_lost and self.roster.reaches_majority
+            not leader_lease.is_lost and self.roster.reaches_majority(service)
         )
 
-    @property
-    def are_earlier_leases_expired(self) -> bool:
+    def are_earlier_leases_expired(self, service: ids.ServiceId) -> bool:
         """Return whether earlier terms' run leases have expired on workers not yet reached.
 
-        Soon after this term has reached more than half of the workers, an earlier term no longer
-        has contact with as many and renews none.
+        Soon after this term has reached more than half of a service's workers, an earlier term no
+        longer has contact with as many and renews none.
         """
-        if self._first_majority_s is None:
-            return False
-        return clock.boot_s() - self._first_majority_s > session.EARLIER_LEASE_EXPIRY_S
+        first_majority_s = self._first_majority_s.get(service, float("inf"))
+        return clock.boot_s() - first_majority_s > session.EARLIER_LEASE_EXPIRY_S
 
     def post(self, change: StateChange) -> trio.Event:
         """Queue a change of the core's state.
@@ -295,11 +292,14 @@
 
     def _end_runs_on_absent_workers(self) -> None:
         """End the runs on workers that the store does not list once their leases have expired."""
-        if self._first_majority_s is None and self.roster.reaches_majority:
-            self._first_majority_s = clock.boot_s()
-        if self._state.orphaned_tasks and self.are_earlier_leases_expired:
-            for worker in list(self._state.orphaned_tasks):
-                tasks = list(self._state.orphaned_tasks[worker].values())
+        orphaned_tasks = self._state.orphaned_tasks
+        services = {task.service for tasks in orphaned_tasks.values() for task in tasks.values()}
+        for service in (services | self.roster.services()) - self._first_majority_s.keys():
+            if self.roster.reaches_majority(service):
+                self._first_majority_s[service] = clock.boot_s()
+        for worker in list(orphaned_tasks):
+            tasks = list(orphaned_tasks[worker].values())
+            if all(self.are_earlier_leases_expired(task.service) for task in tasks):
                 losses.record_absent(self._state, worker, tasks)
                 lifecycle.end_lost_runs(self._state, worker)
 
--- a/src/bronzequay/core/lifecycle.py
+++ b/src/bronzequay/core/lifecycle.py
@@ -63,7 +63,7 @@
         if step.spec.is_gang:
             task.checkpoint = checkpoint
         task.phase = model.Phase.STARTING
-        task.worker = worker.spec.worker
+        task.worker, task.service = worker.spec.worker, worker.spec.service
         task.is_confirmed = False
         task.first_sample = task.last_sample = None
         task.load, task.speed_percent = 0.0, 100
--- a/src/bronzequay/core/records.py
+++ b/src/bronzequay/core/records.py
@@ -51,6 +51,7 @@
 
     :param next_occurrence: number of the first occurrence that was not due
     :param workers: incarnations of workers that tasks are placed on
+    :param services: service of each of these
     :param begun_s: when the first task was started, in seconds since the Unix epoch
     """
 
@@ -60,14 +61,21 @@
     steps: list[StepRecord]
     begun_s: float = 0.0
     reason: str = ""
+    services: list[str] = []
 
 
 def encode(job: Job) -> bytes:
     """Encode the progress of a job."""
-    workers: dict[str, int] = {}
+    workers: dict[tuple[ids.WorkerId, ids.ServiceId], int] = {}
     steps = [_encode_step(step, workers) for step in job.steps() if _has_progress(step)]
     record = JobRecord(
-        job.state, job.next_occurrence, list(workers), steps, job.begun_s, job.reason
+        job.state,
+        job.next_occurrence,
+        [worker for worker, _ in workers],
+        steps,
+        job.begun_s,
+        job.reason,
+        [service for _, service in workers],
     )
     return msgspec.msgpack.encode(record)
 
@@ -76,7 +84,9 @@
     return step.is_done or any(task.run for task in step.tasks)
 
 
-def _encode_step(step: StepRun, workers: dict[str, int]) -> StepRecord:
+def _encode_step(
+    step: StepRun, workers: dict[tuple[ids.WorkerId, ids.ServiceId], int]
+) -> StepRecord:
     tasks = [
         _encode_task(task, workers)
         for task in step.tasks
@@ -94,10 +104,10 @@
     )
 
 
-def _encode_task(task: Task, workers: dict[str, int]) -> TaskRecord:
+def _encode_task(task: Task, workers: dict[tuple[ids.WorkerId, ids.ServiceId], int]) -> TaskRecord:
     worker_index = NOT_PLACED
     if task.worker is not None:
-        worker_index = workers.setdefault(task.worker, len(workers))
+        worker_index = workers.setdefault((task.worker, task.service), len(workers))
     is_done = task.phase is model.Phase.DONE
     return TaskRecord(
         task.key.number,
@@ -163,14 +173,19 @@
     :raises msgspec.DecodeError: it does not
     """
     counts = [step.count for step in job.spec.steps]
-    is_valid = record.next_occurrence <= job.occurrence_count and all(
-        step.occurrence < record.next_occurrence
-        and step.step < len(counts)
+    has_services = len(record.services) in (0, len(record.workers))
+    is_valid = (
+        has_services
+        and record.next_occurrence <= job.occurrence_count
         and all(
-            task.index < counts[step.step] and NOT_PLACED <= task.worker < len(record.workers)
-            for task in step.tasks
+            step.occurrence < record.next_occurrence
+            and step.step < len(counts)
+            and all(
+                task.index < counts[step.step] and NOT_PLACED <= task.worker < len(record.workers)
+                for task in step.tasks
+            )
+            for step in record.steps
         )
-        for step in record.steps
     )
     if not is_valid:
         raise msgspec.DecodeError("the record refers to what the job does not have")
@@ -198,6 +213,9 @@
         task.phase_since_s = task.started_s = state.now_s
         if task_record.worker != NOT_PLACED:
             task.worker = ids.WorkerId(job.workers[task_record.worker])
+            # Records of earlier versions have no services.
+            if job.services:
+                task.service = ids.ServiceId(job.services[task_record.worker])
             task.phase = model.Phase.STOPPING if step.job.is_final else model.Phase.RUNNING
             state.orphaned_tasks.setdefault(task.worker, {})[task.key] = task
         elif task_record.is_done:
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from bronzequay import ids
 from bronzequay.core import model
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from bronzequay import ids
     from bronzequay.core import losses, order, reserve, rollout, upkeep
 
     Decision = tuple[str, ids.JobId | None, dict[str, Any]]
@@ -31,6 +31,7 @@
     """One task of a step.
 
     :ivar run: number of the last run, 0 before the first
+    :ivar service: service of the worker that the task is or was last placed on
     :ivar is_confirmed: whether the worker has acknowledged the run
     :ivar phase_since_s: when the phase began
     :ivar first_sample: first progress report of the current run
@@ -60,6 +61,7 @@
         "phase_since_s",
         "progressed_s",
         "run",
+        "service",
         "speed_percent",
         "started_s",
         "worker",
@@ -70,6 +72,7 @@
         self.phase = model.Phase.WAITING
         self.run = 0
         self.worker: ids.WorkerId | None = None
+        self.service = ids.ServiceId("")
         self.checkpoint = ""
         self.failures = 0
         self.crashes = self.confirmed_crashes = 0
--- a/tests/control/test_foreign.py
+++ b/tests/control/test_foreign.py
@@ -176,3 +176,23 @@
     assert failures
     assert site.terms["a"] is term
     site.check_runs()
+
+
+async def test_lost_runs_start_again_after_a_takeover_beside_entries_of_other_services(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against foreign entries that count when a term looks for a majority of workers."""
+    for number in range(1, 6):
+        site.add_executor(number)
+    for number in range(8):
+        address = f"10.9.0.{number + 1}:80"
+        site.kv.put(f"servers/thumb-{number}", encode(addr=address))
+    site.start_scheduler("a")
+    job = site.submit(plan=tasks.Plan(run_s=3.0))
+    await site.wait_until(lambda: site.events("start"))
+    (busy,) = [executor for executor in site.world.executors.values() if executor.runs]
+    site.start_scheduler("b")
+    site.kill("a")
+    site.crash(busy)
+    await site.wait_for(job, "completed", timeout_s=25.0)
+    site.check_runs()
