--- a/src/bronzequay/control/advisor.py
+++ b/src/bronzequay/control/advisor.py
@@ -15,8 +15,10 @@
     from bronzequay.control.term import Term
     from bronzequay.core.state import State
 
-TIMEOUT_S = 3.0
-"""A query about 30 workers takes a few tenths of a second; after 3 s a start in time is lost."""
+MIN_TIMEOUT_S = 3.0
+"""Timeout of a query that the service answers within a few tenths of a second, as most."""
+TIMEOUT_FACTOR = 1.5
+"""Timeout of a slower query, as a multiple of the time that the configuration states for it."""
 
 _log = structlog.get_logger()
 
@@ -45,7 +47,8 @@
         async for query in self._receive:
             if self._client is None:
                 continue
-            tickets = await self._client.request_tickets(query, timeout_s=TIMEOUT_S)
+            timeout_s = max(MIN_TIMEOUT_S, TIMEOUT_FACTOR * query.expected_s)
+            tickets = await self._client.request_tickets(query, timeout_s=timeout_s)
             _log.info(
                 "advice",
                 job=query.step.job,
--- a/src/bronzequay/core/advice.py
+++ b/src/bronzequay/core/advice.py
@@ -69,7 +69,14 @@
     )
     queried = tuple(worker.spec.worker for worker in candidates[:MAX_WORKERS_PER_QUERY])
     step.is_query_pending = True
-    state.advice_queries.append(model.AdviceQuery(step.key, queried))
+    state.advice_queries.append(
+        model.AdviceQuery(step.key, queried, _expected_s(state, step, len(queried)))
+    )
+
+
+def _expected_s(state: State, step: StepRun, count: int) -> float:
+    queue = state.queue_of(step.job)
+    return 0.0 if queue is None else queue.advice_s + queue.advice_per_worker_s * count
 
 
 def record_answer(
--- a/src/bronzequay/platform/config.py
+++ b/src/bronzequay/platform/config.py
@@ -42,9 +42,9 @@
 
 
 class _Advice(msgspec.Struct, rename="camel"):
-    decide_ms: float = 0
-    each_ms: float = 0
-    valid_ms: float = 0
+    decide_ms: codec.Amount = 0
+    each_ms: codec.Amount = 0
+    valid_ms: codec.Amount = 0
 
 
 class _Route(msgspec.Struct, rename="camel"):
@@ -131,6 +131,8 @@
         stretch=wire.stretch,
         latency_s=wire.target_latency_ms / 1000,
         requires_advice=wire.advice is not None,
+        advice_s=0.0 if wire.advice is None else wire.advice.decide_ms / 1000,
+        advice_per_worker_s=0.0 if wire.advice is None else wire.advice.each_ms / 1000,
     )
 
 
--- a/tests/control/test_advice.py
+++ b/tests/control/test_advice.py
@@ -76,3 +76,16 @@
     site.add_executor(7)
     advice.allowed.add("i-7")
     await site.wait_until(lambda: site.events("done"), timeout_s=5.0)
+
+
+async def test_a_query_that_takes_as_long_as_the_configuration_says_is_answered(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against a queue with slow advice that never starts a job."""
+    advice = site.add_advice({"i-1"}, decide_ms=4000)
+    advice.valid_ms = 8000
+    site.add_executor(1)
+    site.start_scheduler("a")
+    job = site.submit(model.Step(need=ONE_GPU, estimate_s=1.0))
+    await site.wait_for(job, "completed", timeout_s=10.0)
+    assert len(advice.queries) == 1
