--- a/src/bronzequay/net/server.py
+++ b/src/bronzequay/net/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import functools
 import socket
 from typing import TYPE_CHECKING
@@ -57,57 +58,88 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
+class _Message(msgspec.Struct):
+    """A request as it was received.
+
+    :param raw_headers: names and values, in their order
+    :param size: of the whole body, of which no more than the limit is kept
+    """
+
+    method: bytes
+    target: bytes
+    raw_headers: list[tuple[bytes, bytes]]
+    body: bytes
+    size: int
+    is_keep_alive: bool
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers' values by lower-case name; the last of several counts."""
+        return {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in self.raw_headers
+        }
+
+
 class _RequestReader:
-    """Receives the callbacks of the request parser."""
+    """Receives the callbacks of the request parser.
+
+    :ivar messages: complete requests that have not been answered, in their order
+    """
 
     def __init__(self) -> None:
-        self.parser = httptools.HttpRequestParser(self)
-        self.reset()
+        self.messages: collections.deque[_Message] = collections.deque()
+        self._error: httptools.HttpParserError | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._reset()
 
-    def reset(self) -> None:
-        self.target = b""
-        self.raw_headers: list[tuple[bytes, bytes]] = []
-        self.chunks: list[bytes] = []
-        self.size = 0
-        self.is_complete = False
-        self.is_keep_alive = False
+    def _reset(self) -> None:
+        self._target = b""
+        self._raw_headers: list[tuple[bytes, bytes]] = []
+        self._chunks: list[bytes] = []
+        self._size = 0
 
     def on_message_begin(self) -> None:
-        self.reset()
+        self._reset()
 
     def on_url(self, url: bytes) -> None:
-        self.target += url
+        self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.raw_headers.append((name, value))
+        self._raw_headers.append((name, value))
 
     def on_body(self, data: bytes) -> None:
-        self.size += len(data)
-        if self.size <= MAX_BODY_BYTES:
-            self.chunks.append(data)
+        self._size += len(data)
+        if self._size <= MAX_BODY_BYTES:
+            self._chunks.append(data)
 
     def on_message_complete(self) -> None:
-        # The parser resets this flag right after the callback.
-        self.is_keep_alive = self.parser.should_keep_alive()
-        self.is_complete = True
-
-    @property
-    def headers(self) -> dict[str, str]:
-        """Return the headers' values by lower-case name; the last of several counts."""
-        return {
-            name.decode("latin-1").lower(): value.decode("latin-1")
-            for name, value in self.raw_headers
-        }
+        message = _Message(
+            self._parser.get_method(),
+            self._target,
+            self._raw_headers,
+            b"".join(self._chunks),
+            self._size,
+            # The parser resets this flag right after the callback.
+            self._parser.should_keep_alive(),
+        )
+        self.messages.append(message)
 
     def feed(self, data: bytes) -> None:
-        """Parse received bytes.
-
-        :raises httptools.HttpParserError: when they are malformed
-        """
+        """Parse received bytes; malformed ones are reported after the requests before them."""
         try:
-            self.parser.feed_data(data)
+            self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
             self._decline_upgrade(data[exc.args[0] :])
+        except httptools.HttpParserError as exc:
+            self._error = exc
+
+    def check(self) -> None:
+        """Raise the error that the received bytes have caused.
+
+        :raises httptools.HttpParserError: when they are malformed
+        """
+        if self._error is not None:
+            raise self._error
 
     def _decline_upgrade(self, rest: bytes) -> None:
         """Parse a request that offers another protocol again, without the offer.
@@ -116,15 +148,16 @@
 
         :param rest: the bytes after its headers
         """
-        if self.parser.get_method() == b"CONNECT":
-            self.is_keep_alive = False
+        message = self.messages.pop()
+        if message.method == b"CONNECT":
+            message.is_keep_alive = False
+            self.messages.append(message)
             return
-        version = self.parser.get_http_version().encode()
-        lines = [b"%b %b HTTP/%b" % (self.parser.get_method(), self.target, version)]
-        lines += [b"%b: %b" % pair for pair in self.raw_headers if pair[0].lower() != b"upgrade"]
-        self.parser = httptools.HttpRequestParser(self)
-        self.reset()
-        self.parser.feed_data(b"\r\n".join([*lines, b"", b""]) + rest)
+        version = self._parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b" % (message.method, message.target, version)]
+        lines += [b"%b: %b" % pair for pair in message.raw_headers if pair[0].lower() != b"upgrade"]
+        self._parser = httptools.HttpRequestParser(self)
+        self.feed(b"\r\n".join([*lines, b"", b""]) + rest)
 
 
 class Server:
@@ -181,23 +214,23 @@
         reader = _RequestReader()
         try:
             while await self._read(stream, reader):
-                if not await self._respond(stream, reader):
+                if not await self._respond(stream, reader.messages.popleft()):
                     break
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         except httptools.HttpParserError:
             await _send_ignoring_errors(stream, _encode(Response(400), keep_alive=False))
         except Exception:  # noqa: BLE001  # it must not end the other connections
-            _log.exception("connection_failed", target=reader.target.decode("latin-1"))
+            _log.exception("connection_failed", address=f"{self._host}:{self._port}")
             figures.count("connections_failed")
         finally:
             stream.socket.close()
 
     async def _read(self, stream: trio.SocketStream, reader: _RequestReader) -> bool:
-        """Read one request; return false when the connection ended or timed out."""
-        reader.is_complete = False
+        """Read until a request is complete; return false when the connection ended or timed out."""
         timeout_s = IDLE_TIMEOUT_S
-        while not reader.is_complete:
+        while not reader.messages:
+            reader.check()
             with trio.move_on_after(timeout_s):
                 data = await stream.receive_some(READ_BYTES)
                 if not data:
@@ -208,21 +241,21 @@
             return False
         return True
 
-    async def _respond(self, stream: trio.SocketStream, reader: _RequestReader) -> bool:
+    async def _respond(self, stream: trio.SocketStream, message: _Message) -> bool:
         """Respond to one request; return false when the connection is to be closed."""
         self._in_flight += 1
         self._last_request_s = trio.current_time()
         try:
-            path, _, query = reader.target.decode("latin-1").partition("?")
-            method = reader.parser.get_method().decode("latin-1")
-            req = Request(method, path, reader.headers, b"".join(reader.chunks), query)
-            if reader.size > MAX_BODY_BYTES:
+            path, _, query = message.target.decode("latin-1").partition("?")
+            method = message.method.decode("latin-1")
+            req = Request(method, path, message.headers(), message.body, query)
+            if message.size > MAX_BODY_BYTES:
                 response = Response(413)
             elif method == "CONNECT":
                 response = Response(405)
             else:
                 response = await self._call_handler(req)
-            keep_alive = reader.is_keep_alive and not self._is_keep_alive_disabled
+            keep_alive = message.is_keep_alive and not self._is_keep_alive_disabled
             await stream.send_all(_encode(response, keep_alive=keep_alive))
         finally:
             self._in_flight -= 1
--- a/tests/net/test_hostile_peers.py
+++ b/tests/net/test_hostile_peers.py
@@ -126,6 +126,21 @@
         nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize("split", [10, 70, 10_000])
+async def test_each_of_several_pipelined_requests_gets_its_own_answer_in_order(split: int) -> None:
+    """Guards against a caller who is shown the state of another job."""
+    first = b"POST /a HTTP/1.1\r\nHost: h\r\n" + OFFER + b"Content-Length: 3\r\n\r\none"
+    rest = b"GET /b HTTP/1.1\r\nHost: h\r\n\r\nGET /c HTTP/1.1\r\nHost: h\r\n\r\n\x00"
+    async with trio.open_nursery() as nursery:
+        _, http_client = await start_server(nursery, echo)
+        data = first + rest
+        received = await send_in_parts(http_client.address, [data[:split], data[split:]])
+        bodies = [part.partition(b"HTTP/")[0] for part in received.split(b"\r\n\r\n")[1:]]
+        assert bodies == [b"POST /a one", b"GET /b ", b"GET /c ", b""]
+        assert b"HTTP/1.1 400" in received
+        nursery.cancel_scope.cancel()
+
+
 async def send_in_parts(address: str, parts: list[bytes]) -> bytes:
     host, port = address.split(":")
     received = b""
