--- a/src/bronzequay/core/upkeep.py
+++ b/src/bronzequay/core/upkeep.py
@@ -58,8 +58,9 @@
     if not state.waves:
         return
     workers_by_machine: dict[str, list[Worker]] = {}
+    ordered = {machine for wave in state.waves.values() for machine in wave.ordered}
     for worker in state.workers.values():
-        worker.is_held_for_upkeep = False
+        worker.is_held_for_upkeep = worker.spec.machine in ordered
         workers_by_machine.setdefault(worker.spec.machine, []).append(worker)
     for wave in state.waves.values():
         if not wave.is_done:
@@ -72,6 +73,8 @@
         if any(worker.spec.worker != old_worker for worker in workers_by_machine.get(machine, ())):
             del wave.ordered[machine]
             _finish_machine(state, wave, machine, "back")
+            for worker in workers_by_machine[machine]:
+                worker.is_held_for_upkeep = False
     for machine in wave.pending_machines:
         if machine in workers_by_machine:
             wave.unseen_s.pop(machine, None)
--- a/tests/control/test_upkeep.py
+++ b/tests/control/test_upkeep.py
@@ -115,3 +115,21 @@
         fewest_running = min(fewest_running, len(running))
         assert trio.current_time() < 60.0
     assert fewest_running == 2
+
+
+async def test_nothing_starts_on_a_machine_that_is_ordered_down(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against tasks of a service that end because their machine was already ordered down."""
+    site.add_machines()
+    for number in range(2):
+        site.add_executor(number)
+    site.start_scheduler("a")
+    await trio.sleep(5.0)
+    site.network.refused.add(("a", site.machine_address))
+    site.request_wave(WAVE[0], within_s=30.0, most_down=1)
+    await trio.sleep(1.0)
+    step = model.Step(count=8, need=model.Resources(1000, 1000, 1), estimate_s=30.0)
+    site.submit(step, plan=tasks.Plan(run_s=30.0))
+    await site.wait_until(lambda: len(site.events("start")) == 8)
+    assert {name for _, event, name, _, _ in site.world.log if event == "start"} == {"i-1"}
