--- a/src/bronzequay/control/upkeep.py
+++ b/src/bronzequay/control/upkeep.py
@@ -108,6 +108,9 @@
                 outcome=outcome.value,
             )
             if outcome is machines.Outcome.OK:
+                self._term.post(
+                    lambda state: upkeep.record_begun(state, command.wave, command.machine)
+                )
                 return
             if outcome is machines.Outcome.STALE_EPOCH:
                 await self._term.end_if_fenced(command.machine)
--- a/src/bronzequay/core/upkeep.py
+++ b/src/bronzequay/core/upkeep.py
@@ -30,6 +30,7 @@
     :param due_s: deadline of the wave, in seconds since the Unix epoch
     :param done: machines that are back, removed for good, or refused by the platform
     :param ordered: machines ordered down, with the worker incarnation that the upkeep ends
+    :param begun_s: when the platform was known to carry out the upkeep, on the runtime's clock
     :param unseen_s: since when machines have had no worker, on the runtime's clock
     """
 
@@ -40,6 +41,7 @@
     done: set[ids.MachineId] = msgspec.field(default_factory=set)
     ordered: dict[ids.MachineId, ids.WorkerId] = msgspec.field(default_factory=dict)
     unseen_s: dict[ids.MachineId, float] = msgspec.field(default_factory=dict)
+    begun_s: dict[ids.MachineId, float] = msgspec.field(default_factory=dict)
 
     @property
     def is_done(self) -> bool:
@@ -69,8 +71,8 @@
 
 
 def _record_returns(state: State, wave: Wave, workers_by_machine: dict[str, list[Worker]]) -> None:
-    for machine, old_worker in list(wave.ordered.items()):
-        if any(worker.spec.worker != old_worker for worker in workers_by_machine.get(machine, ())):
+    for machine in list(wave.ordered):
+        if any(_is_back(wave, worker) for worker in workers_by_machine.get(machine, ())):
             del wave.ordered[machine]
             _finish_machine(state, wave, machine, "back")
             for worker in workers_by_machine[machine]:
@@ -82,6 +84,27 @@
             _finish_machine(state, wave, machine, "gone")
 
 
+def _is_back(wave: Wave, worker: Worker) -> bool:
+    """Return whether a worker has joined after the upkeep of its machine.
+
+    A machine may crash before its order is carried out, and an order that has been carried out may
+    be acknowledged only after the machine is back. A worker that has joined before that is back if
+    it is still heard after the time that the upkeep takes.
+    """
+    machine = worker.spec.machine
+    begun_s = wave.begun_s.get(machine)
+    if begun_s is None or worker.spec.worker == wave.ordered[machine]:
+        return False
+    return worker.joined_s > begun_s or worker.heard_s - begun_s > MACHINE_DOWNTIME_S
+
+
+def record_begun(state: State, number: int, machine: ids.MachineId) -> None:
+    """Record that the platform carries out the upkeep of a machine, or has done so."""
+    wave = state.waves.get(number)
+    if wave is not None:
+        wave.begun_s.setdefault(machine, state.now_s)
+
+
 def _finish_machine(state: State, wave: Wave, machine: ids.MachineId, reason: str) -> None:
     wave.done.add(machine)
     state.dirty_waves.add(wave.number)
@@ -142,10 +165,11 @@
     """Restore waves from their records; machines ordered down are ordered again."""
     for wave in waves:
         wave.unseen_s.clear()
+        wave.begun_s.clear()
         state.waves[wave.number] = wave
         state.upkeep_orders.extend(
             model.BeginUpkeep(machine, wave.number) for machine in wave.ordered
         )
 
 
-__all__ = ["Wave", "drop_machine", "restore", "run"]
+__all__ = ["Wave", "drop_machine", "record_begun", "restore", "run"]
--- a/tests/control/test_upkeep.py
+++ b/tests/control/test_upkeep.py
@@ -117,6 +117,28 @@
     assert fewest_running == 2
 
 
+async def test_a_machine_that_crashes_before_its_upkeep_has_not_had_it(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against a wave that is shown as completed although a machine's upkeep comes later."""
+    machines = site.add_machines()
+    executors = [site.add_executor(number) for number in range(3)]
+    site.start_scheduler("a")
+    await trio.sleep(5.0)
+    site.network.refused.add(("a", site.machine_address))
+    site.request_wave(WAVE[0], within_s=30.0, most_down=1)
+    await trio.sleep(1.0)
+    site.crash(executors[0])
+    await trio.sleep(1.0)
+    site.reboot(executors[0])
+    await trio.sleep(3.0)
+    assert site.wave_state() == "running"
+    site.network.refused.clear()
+    await site.wait_until(lambda: site.wave_state() == "completed", timeout_s=12.0)
+    assert machines.accepted == {(WAVE[0], 1)}
+    assert not machines.down
+
+
 async def test_nothing_starts_on_a_machine_that_is_ordered_down(
     autojump_clock: MockClock, site: Site
 ) -> None:
