An entry that contradicts a working executor is not used

Change: an incarnation keeps its place and its service; an entry that says otherwise is treated as one that cannot be read, until the executor writes again.

Measured: the new test fails before the change.

--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -133,6 +133,10 @@
             self._on_successor(current, entry)
             return
         self._successors.pop(entry.executor, None)
+        if not current.accepts(entry):
+            _log.warning("worker_entry_contradicts", worker=current.worker, address=entry.address)
+            self._on_unlisted(entry.executor)
+            return
         if current.entry.is_draining != entry.is_draining or not current.is_listed:
             _log.info("worker_changed", worker=current.worker, is_draining=entry.is_draining)
         current.entry, current.is_listed = entry, True
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -122,6 +122,16 @@
             return float("inf")
         return trio.current_time() - (self._worker_clock_ms() - self.entry.clock_ms) / 1000
 
+    def accepts(self, entry: executor_entries.ExecutorEntry) -> bool:
+        """Return whether an entry can be of this incarnation: it keeps its place and service."""
+        spec, own = entry.spec, self.entry.spec
+        return (entry.address, spec.service, spec.machine, spec.labels) == (
+            self.entry.address,
+            own.service,
+            own.machine,
+            own.labels,
+        )
+
     async def run(self) -> None:
         """Renew the run leases until the incarnation ends or the session is closed."""
         with self._scope:
--- a/tests/control/test_lives.py
+++ b/tests/control/test_lives.py
@@ -9,10 +9,11 @@
 import trio
 
 from bronzequay.control import session
+from bronzequay.core import model
 from bronzequay.fakes import tasks
 from bronzequay.net import server
 from tests.control.network import SOURCE
-from tests.control.site import gang
+from tests.control.site import ONE_GPU, gang
 
 if TYPE_CHECKING:
     from trio.testing import MockClock
@@ -99,6 +100,10 @@
         {"born": 10**13, "addr": "10.9.0.1:80"},
         {"born": 10**13, "addr": "10.9.0.1:80", "machine": "other"},
         {"service": 5},
+        {"service": "thumbnailer"},
+        {"addr": "10.9.0.1:80"},
+        {"machine": "other", "labels": ["b", "r9"]},
+        {"capacity": {"cpu": 0, "memMb": 0, "gpu": 0}},
         {"state": "odd"},
         None,
     ],
@@ -240,3 +245,26 @@
     site.kv.delete(f"servers/{executor.name}")
     await site.wait_until(lambda: len(site.events("start")) == 4, timeout_s=15.0)
     site.check_runs()
+
+
+async def test_an_entry_that_contradicts_a_working_executor_is_not_used(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against starts that follow what another writer says of a working executor."""
+    executor = site.add_executor(1)
+    executor.beats = True
+    site.start_scheduler("a")
+    await site.wait_for(site.submit(), "completed", timeout_s=5.0)
+    entry = json.loads(executor.entry(born_ms=executor.born_ms))
+    entry |= {"machine": "other", "capacity": {"cpu": 10**6, "memMb": 10**6, "gpu": 64}}
+    executor.beats = False
+    site.kv.put(f"servers/{executor.name}", json.dumps(entry).encode())
+    await trio.sleep(0.6)
+    big = model.Step(count=20, need=ONE_GPU, estimate_s=1.0)
+    job = site.submit(big, plan=tasks.Plan(run_s=1.0))
+    await trio.sleep(1.0)
+    assert not executor.runs
+    executor.beats = True
+    while site.state(job) != "completed":
+        assert len(executor.runs) <= 8
+        await trio.sleep(0.05)
