Soak: intrusions of others, and ports that differ between runs at the same time

New kinds of fault, drawn apart so that earlier seeds keep their plans: foreign and damaged entries, changed entries of working executors, executors cut off while they drain, odd requests. New check: no instance ends by itself.

--- a/soak/harness.py
+++ b/soak/harness.py
@@ -5,6 +5,7 @@
 import collections
 import itertools
 import json
+import os
 import signal
 import socket
 from typing import TYPE_CHECKING
@@ -13,7 +14,7 @@
 
 from bronzequay.fakes import executors, kv
 from bronzequay.net import server
-from soak import invariants, links, plan
+from soak import intrusions, invariants, links, plan
 from soak.instances import SHUTDOWN_GRACE_S, Instance
 
 if TYPE_CHECKING:
@@ -42,9 +43,9 @@
 ]
 
 
-def free_ports(seed: int) -> itertools.chain[int]:
-    """Yield free ports, from a start that depends on the seed."""
-    first_port = FIRST_PORT + seed * 211 % (LAST_PORT - FIRST_PORT)
+def free_ports() -> itertools.chain[int]:
+    """Yield free ports, from a start that differs between processes that run at once."""
+    first_port = FIRST_PORT + os.getpid() * 211 % (LAST_PORT - FIRST_PORT)
     ports = itertools.chain(range(first_port, LAST_PORT), range(FIRST_PORT, first_port))
     return itertools.chain(port for port in ports if _is_free(port))
 
@@ -65,7 +66,7 @@
     The workers are the executors of ``bronzequay.fakes.executors``, which run tasks under leases.
 
     :param nursery: nursery in which they run
-    :param seed: seed of the ports and of the store's lost answers
+    :param seed: seed of the store's lost answers
     :param entries: number of entry instances
     :param workers: number of workers
     :param folder: folder of the logs and settings files
@@ -74,6 +75,7 @@
     :ivar worker_count: number of workers
     :ivar version: version of the last configuration written
     :ivar injected: number of faults by kind
+    :ivar unexpected_exits: descriptions of processes that ended by themselves
     :ivar faults_until_s: planned end of the fault injected last, or the end of an earlier fault
         if that ended later
     """
@@ -90,12 +92,13 @@
     ) -> None:
         self._nursery = nursery
         self._has_hazards = has_hazards
-        self._ports = free_ports(seed)
+        self._ports = free_ports()
         self.kv = kv.Kv(nursery.start_soon, seed=seed)
         self.world = executors.World(self.kv)
         self.run_checker = invariants.RunChecker(self.world)
         self.version = 0
         self.injected: collections.Counter[str] = collections.Counter()
+        self.unexpected_exits: list[str] = []
         self.faults_until_s = trio.current_time()
         self._store_port = next(self._ports)
         self._worker_links: dict[str, links.Link] = {}
@@ -117,6 +120,7 @@
             start(instance.store.run)
             start(instance.callers.run)
             instance.start()
+            start(self._watch_exits, instance)
 
     def _make_instance(self, number: int, folder: pathlib.Path) -> Instance:
         ports = [next(self._ports) for _ in range(6)]
@@ -194,12 +198,27 @@
             self.write_configuration()
         elif fault.kind.value.startswith("link"):
             await self._inject_link_fault(instance, fault)
+        elif fault.kind in plan.INTRUSIONS:
+            await intrusions.inject(self, fault)
         elif fault.kind is plan.Kind.WORKER_SHRINKS:
             await self._shrink(fault)
         else:
             await self._inject_worker_fault(fault)
         self.faults_until_s = max(self.faults_until_s, trio.current_time())
 
+    def worker_link(self, name: str) -> links.Link:
+        """Return the link to a worker."""
+        return self._worker_links[name]
+
+    async def _watch_exits(self, instance: Instance) -> None:
+        """Note an instance that ends although nobody has stopped it, and start it again."""
+        while True:
+            await trio.sleep(0.1)
+            if instance.is_running or instance.is_stopping:
+                continue
+            self.unexpected_exits.append(f"{instance.name} ended by itself")
+            instance.start()
+
     def _mark_all_disturbed(self) -> None:
         for instance in self.instances:
             instance.disturbed_s = trio.current_time()
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -40,6 +40,7 @@
     :param folder: folder of its log and settings file
     :ivar disturbed_s: time at which a fault other than SIGTERM last affected it
     :ivar sigterm_s: time at which it was last sent SIGTERM
+    :ivar is_stopping: whether its process was killed or sent SIGTERM
     :ivar incarnation: number of processes started so far
     """
 
@@ -53,6 +54,7 @@
         self.disturbed_s = float("-inf")
         self.sigterm_s = float("-inf")
         self.incarnation = 0
+        self.is_stopping = False
         self._process: subprocess.Popen[bytes] | None = None
         self._log_path = folder / f"{self.name}.log"
         self._settings_path = folder / f"{self.name}.conf"
@@ -81,6 +83,7 @@
             "BRONZEQUAY_BOOT": str(self._settings_path),
         }
         self.incarnation += 1
+        self.is_stopping = False
         with self._log_path.open("ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "bronzequay.node"], env=environ, stdout=log, stderr=log
@@ -88,6 +91,7 @@
 
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to its process, if it runs."""
+        self.is_stopping |= number in (signal.SIGTERM, signal.SIGKILL)
         if self._process is not None and self._process.poll() is None:
             self._process.send_signal(number)
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -4,9 +4,13 @@
 
 import enum
 import random
+from typing import TYPE_CHECKING
 
 import msgspec
 
+if TYPE_CHECKING:
+    from collections.abc import Set as AbstractSet
+
 
 class Kind(enum.Enum):
     """Kind of a fault; ``Harness.inject`` carries it out."""
@@ -37,6 +41,10 @@
     ORDERS_LATE = "orders_late"
     CONFIGURATION = "configuration"
     WORKER_SHRINKS = "worker_shrinks"
+    FOREIGN_ENTRY = "foreign_entry"
+    ENTRY_CHANGED = "entry_changed"
+    DRAINING_CUT = "draining_cut"
+    ODD_REQUEST = "odd_request"
 
 
 class Target(enum.Enum):
@@ -59,6 +67,10 @@
 """Relative frequency of the kinds; 1 for kinds not listed."""
 HAZARDS = frozenset({Kind.WORKER_SHRINKS})
 """Kinds that are drawn apart, so that earlier seeds keep their plans."""
+INTRUSIONS = frozenset(
+    {Kind.FOREIGN_ENTRY, Kind.ENTRY_CHANGED, Kind.DRAINING_CUT, Kind.ODD_REQUEST}
+)
+"""Kinds that ``intrusions`` carries out, drawn apart likewise."""
 REPEAT_SHARE = 0.25
 """Share of faults that repeat the kind of the fault before."""
 
@@ -85,7 +97,7 @@
     :param per_s: mean number of faults per second
     """
     rng = random.Random(seed)
-    kinds = [kind for kind in Kind if kind not in HAZARDS]
+    kinds = [kind for kind in Kind if kind not in HAZARDS | INTRUSIONS]
     weights = [WEIGHTS.get(kind, 1.0) for kind in kinds]
     faults: list[Fault] = []
     at_s = 0.0
@@ -107,8 +119,22 @@
     :param seconds: length of the fault phase, in seconds
     :param per_s: mean number of faults per second
     """
-    rng = random.Random(f"hazards {seed}")
-    kinds = sorted(HAZARDS, key=lambda kind: kind.value)
+    return _draw(random.Random(f"hazards {seed}"), HAZARDS, seconds, per_s=per_s)
+
+
+def draw_intrusions(seed: int, seconds: float, *, per_s: float) -> list[Fault]:
+    """Draw the faults of the kinds in ``INTRUSIONS``, ordered by time.
+
+    :param seconds: length of the fault phase, in seconds
+    :param per_s: mean number of faults per second
+    """
+    return _draw(random.Random(f"intrusions {seed}"), INTRUSIONS, seconds, per_s=per_s)
+
+
+def _draw(
+    rng: random.Random, group: AbstractSet[Kind], seconds: float, *, per_s: float
+) -> list[Fault]:
+    kinds = sorted(group, key=lambda kind: kind.value)
     faults: list[Fault] = []
     at_s = rng.expovariate(per_s)
     while at_s <= seconds:
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 """Longest time until an entry instance serves after a cold start on a loaded machine."""
 FAULTS_PER_S = 0.7
 HAZARDS_PER_S = 0.25
+INTRUSIONS_PER_S = 0.4
 JOBS_PER_S = 2.5
 CHECK_INTERVAL_S = 0.25
 RECOVERY_TIMEOUT_S = 12.0
@@ -103,6 +104,7 @@
     async with trio.open_nursery() as fault_nursery:
         started_s = trio.current_time()
         faults = plan.draw_faults(seed, seconds, per_s=FAULTS_PER_S)
+        faults += plan.draw_intrusions(seed, seconds, per_s=INTRUSIONS_PER_S)
         if has_hazards:
             faults += plan.draw_hazards(seed, seconds, per_s=HAZARDS_PER_S)
         for fault in sorted(faults, key=lambda fault: fault.at_s):
@@ -124,6 +126,7 @@
     for job in traffic.unfinished_jobs():
         traffic.breaches.append(f"job {job.name} is still {job.state or 'unknown'}")
     checker.check()
+    traffic.breaches.extend(site.unexpected_exits)
     return Figures(
         seed=seed,
         injected=dict(site.injected),
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -23,7 +23,11 @@
     faults = [fault for seed in range(20) for fault in plan.draw_faults(seed, 60.0, per_s=1.0)]
     hazards = [fault for seed in range(20) for fault in plan.draw_hazards(seed, 60.0, per_s=1.0)]
     assert {fault.kind for fault in hazards} == plan.HAZARDS
-    assert {fault.kind for fault in faults} == set(plan.Kind) - plan.HAZARDS
+    intrusions = [
+        fault for seed in range(20) for fault in plan.draw_intrusions(seed, 60.0, per_s=1.0)
+    ]
+    assert {fault.kind for fault in intrusions} == plan.INTRUSIONS
+    assert {fault.kind for fault in faults} == set(plan.Kind) - plan.HAZARDS - plan.INTRUSIONS
 
 
 def test_every_regression_seed_has_a_cause() -> None:
