--- a/soak/instances.py
+++ b/soak/instances.py
@@ -48,7 +48,7 @@
         self, number: int, ports: list[int], *, store: Link, callers: Link, folder: pathlib.Path
     ) -> None:
         self.name = f"front-{number}"
-        self.front_port, self._ready_port, first, last = ports
+        self.front_port, self.ready_port, self.own_port, last = ports
         self.store = store
         self.callers = callers
         self.disturbed_s = float("-inf")
@@ -62,10 +62,10 @@
             SETTINGS.format(
                 name=self.name,
                 zone=number % 3,
-                first_port=first,
+                first_port=self.own_port,
                 last_port=last,
                 front=self.front_port,
-                ready=self._ready_port,
+                ready=self.ready_port,
                 store=store.port,
             )
         )
