--- a/src/bronzequay/core/lifecycle.py
+++ b/src/bronzequay/core/lifecycle.py
@@ -71,8 +71,6 @@
         allocate(worker, step, task)
         state.commands.append(_start_command(step, task, worker))
     job = step.job
-    if not job.has_begun:
-        job.has_begun, job.begun_s = True, state.wall_s
     state.record_decision(
         "started",
         job.spec.job,
@@ -81,8 +79,15 @@
         run=placement[0][0].run,
         workers=sorted(f"{task.key.number}:{worker.spec.worker}" for task, worker in placement),
     )
-    if job.state is model.JobState.QUEUED:
-        job.state = model.JobState.RUNNING
+    state.dirty_jobs.add(job.spec.job)
+
+
+def _record_begin(state: State, job: Job) -> None:
+    """Record that a worker has begun a task of a job; an order alone does not show it."""
+    if job.has_begun or job.is_final:
+        return
+    job.has_begun, job.begun_s = True, state.wall_s
+    job.state = model.JobState.RUNNING
     state.dirty_jobs.add(job.spec.job)
 
 
@@ -163,6 +168,7 @@
     if task is None or task.run != run or task.worker != worker or task.is_confirmed:
         return
     task.is_confirmed = True
+    _record_begin(state, state.jobs[key.job])
     if task.phase is model.Phase.STARTING:
         task.phase = model.Phase.RUNNING
         task.phase_since_s = task.progressed_s = state.now_s
@@ -200,6 +206,8 @@
     if checkpoint:
         task.checkpoint = checkpoint
     state.dirty_jobs.add(step.job.spec.job)
+    if end not in _UNREPORTED_ENDS:
+        _record_begin(state, step.job)
     _handle_end(state, step, task, end, worker)
     retire(state, step.job)
 
--- a/src/bronzequay/core/records.py
+++ b/src/bronzequay/core/records.py
@@ -147,7 +147,7 @@
     _check(record, job)
     state.jobs[spec.job] = job
     job.state = record.state
-    job.has_begun = bool(record.steps)
+    job.has_begun = record.begun_s > 0.0
     job.begun_s, job.reason = record.begun_s, record.reason
     job.next_occurrence = record.next_occurrence
     for number in range(record.next_occurrence):
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -189,8 +189,8 @@
 
     :ivar occurrences: occurrences that are due, by number
     :ivar next_occurrence: number of the first occurrence that is not due
-    :ivar has_begun: whether any task was ever started
-    :ivar begun_s: when the first task was started, in seconds since the Unix epoch
+    :ivar has_begun: whether a worker has begun any task
+    :ivar begun_s: when that was known first, in seconds since the Unix epoch
     :ivar reason: explanation of a failure or cancellation
     :ivar failed_machines: machines on which its runs have failed since one last succeeded
     :ivar paths: longest paths through the steps, None before they are needed
--- a/tests/control/test_term.py
+++ b/tests/control/test_term.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -420,3 +421,21 @@
         await term.Term(
             store, leader_lease, lambda: configuration.rules, max_run_lease_s=10.0, beat_s=1.5
         ).run()
+
+
+async def test_a_job_waits_until_a_worker_has_begun_it(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against a count of waiting jobs that leaves out those that are only ordered."""
+    executor = site.add_executor(1)
+    site.start_scheduler("a")
+    send = await site.start_front("f")
+    await site.wait_for(site.submit(), "completed", timeout_s=5.0)
+    site.network.refused.add(("a", executor.address))
+    site.submit(plan=tasks.Plan(run_s=3.0))
+    await trio.sleep(2.5)
+    assert json.loads((await send("GET", "/q1/")).body) == {"waiting": 1}
+    site.network.refused.clear()
+    await site.wait_until(lambda: len(site.events("start")) == 2, timeout_s=15.0)
+    await trio.sleep(1.0)
+    assert json.loads((await send("GET", "/q1/")).body) == {"waiting": 0}
--- a/tests/core/test_lifecycle.py
+++ b/tests/core/test_lifecycle.py
@@ -32,6 +32,8 @@
     lifecycle.accept(state, world.job(1, world.step(2), world.step(1, after=(0,))))
     first = starts(run_pass(state))
     assert [start.key.step for start in first] == [0, 0]
+    assert only_job(state).state is model.JobState.QUEUED
+    confirm_starts(state, [*first])
     for start in first:
         assert only_job(state).state is model.JobState.RUNNING
         finish(state, start)
@@ -195,6 +197,8 @@
     (second,) = starts(run_pass(state, 1.0))
     finish(state, first)
     assert second.run == 2
+    assert only_job(state).state is model.JobState.QUEUED
+    confirm_starts(state, [second])
     assert only_job(state).state is model.JobState.RUNNING
 
 
