Observability: when an instance read, received and applied a configuration

The age of a configuration could not be read off: configuration_adopted had a version and no times, and answers to callers had a version only in two of four lines. Change: bytes, time of arrival and time of applying in configuration_adopted and configuration_unreachable; version and age in each answer to a caller; gauges of version and age; the loop's delay as histogram and log line. No logic is changed.

--- a/src/bronzequay/front/config_watcher.py
+++ b/src/bronzequay/front/config_watcher.py
@@ -7,7 +7,8 @@
 import structlog
 import trio
 
-from bronzequay import errors
+from bronzequay import clock, errors, figures
+from bronzequay.net import client
 from bronzequay.platform import config, kv
 
 if TYPE_CHECKING:
@@ -36,6 +37,25 @@
         self.current: config.Configuration | None = None
         self.loaded = trio.Event()
         self._last_answer_s = float("-inf")
+        self._confirmed_s = float("-inf")
+
+    def register_gauges(self) -> None:
+        """Add version and age of the configuration to the metrics."""
+        figures.gauge("configuration_version", lambda: self.version or 0)
+        figures.gauge("configuration_age_seconds", lambda: self.age_s)
+
+    @property
+    def version(self) -> int | None:
+        """Return the version of the current configuration, None before the first."""
+        return None if self.current is None else self.current.version
+
+    @property
+    def age_s(self) -> float:
+        """Return the time since which changes may be missing, infinity before the first answer.
+
+        It counts from when the latest answered call was sent, on the boot clock.
+        """
+        return clock.boot_s() - self._confirmed_s
 
     @property
     def is_store_reachable(self) -> bool:
@@ -46,28 +66,42 @@
         """Read the configuration, then watch it, until cancelled."""
         timeout_s = kv.FIRST_TIMEOUT_S
         while True:
+            transfer, sent_s = client.Transfer(), clock.boot_s()
             try:
-                item = await self._store.get(config.KEY, timeout_s=timeout_s)
+                item = await self._store.get(config.KEY, timeout_s=timeout_s, transfer=transfer)
                 timeout_s = kv.FIRST_TIMEOUT_S
                 self._last_answer_s = trio.current_time()
                 if item is None:
                     await trio.sleep(RETRY_DELAY_S)
                     continue
-                self._adopt(item)
+                self._adopt(item, transfer)
+                self._confirmed_s = sent_s
                 rev = item.seen_rev
                 while True:
-                    changes = await self._store.watch(config.KEY, after=rev, wait_s=WATCH_S)
+                    transfer, sent_s = client.Transfer(), clock.boot_s()
+                    changes = await self._store.watch(
+                        config.KEY, after=rev, wait_s=WATCH_S, transfer=transfer
+                    )
                     self._last_answer_s = trio.current_time()
                     rev = changes.rev
                     for change in changes.items:
-                        self._adopt(change)
+                        self._adopt(change, transfer)
+                    self._confirmed_s = sent_s
             except errors.BronzequayError as exc:
-                _log.info("configuration_unreachable", error=str(exc))
+                figures.count("configuration_reads_failed")
+                _log.info(
+                    "configuration_unreachable",
+                    error=str(exc),
+                    received_bytes=transfer.received_bytes,
+                    receiving_s=round(transfer.receiving_s, 3),
+                    version=self.version,
+                    age_s=round(self.age_s, 3),
+                )
                 # A configuration of several hundred KB takes longer on a slow link.
                 timeout_s = min(kv.CALL_TIMEOUT_S, 2 * timeout_s)
                 await trio.sleep(RETRY_DELAY_S)
 
-    def _adopt(self, item: Item) -> None:
+    def _adopt(self, item: Item, transfer: client.Transfer) -> None:
         if item.value is None or item.key != config.KEY:
             return
         try:
@@ -79,7 +113,17 @@
             return
         self.current = decoded
         self.loaded.set()
-        _log.info("configuration_adopted", version=decoded.version, revision=item.rev)
+        figures.observe("configuration_transfer", transfer.receiving_s)
+        _log.info(
+            "configuration_adopted",
+            version=decoded.version,
+            revision=item.rev,
+            value_bytes=len(item.value),
+            received_bytes=transfer.received_bytes,
+            receiving_s=round(transfer.receiving_s, 3),
+            applying_s=round(transfer.idle_s, 3),
+            age_s=round(self.age_s, 3),
+        )
 
 
 __all__ = ["ConfigurationWatcher"]
--- a/src/bronzequay/front/handler.py
+++ b/src/bronzequay/front/handler.py
@@ -43,8 +43,12 @@
 
 
 class _JobRequest(msgspec.Struct, frozen=True):
-    """A request about one job, after routing and authentication."""
+    """A request about one job, after routing and authentication.
 
+    :param version: version of the configuration by which it was routed
+    """
+
+    version: int
     route: config.Route
     org: ids.OrgId
     job: ids.JobId
@@ -80,6 +84,10 @@
         finally:
             figures.observe("answer", trio.current_time() - started_s)
 
+    @property
+    def _configuration_age_s(self) -> float:
+        return round(self._configuration.age_s, 3)
+
     async def _respond(self, current: Configuration, req: server.Request) -> server.Response:
         response = await self._dispatch(current, req)
         if response.status in _REJECTION_STATUSES:
@@ -89,6 +97,7 @@
                 path=req.path,
                 status=response.status,
                 version=current.version,
+                configuration_age_s=self._configuration_age_s,
             )
         figures.count(f'answers{{method="{req.method}",status="{response.status}"}}')
         return response
@@ -106,7 +115,8 @@
         if not ingress.is_job_id(name):
             return server.Response(400)
         return await self._handle_job(
-            current, _JobRequest(route, org or NO_ORG, ids.JobId(name), req)
+            current,
+            _JobRequest(current.version, route, org or NO_ORG, ids.JobId(name), req),
         )
 
     async def _handle_job(self, current: Configuration, job_req: _JobRequest) -> server.Response:
@@ -152,6 +162,7 @@
             queue=queue,
             org=job_req.org,
             version=version,
+            configuration_age_s=self._configuration_age_s,
             status=response.status,
         )
         return response
@@ -192,7 +203,13 @@
         if model.JobState(job_status.state) in model.FINAL_STATES:
             return server.Response(200)
         response = await self._write(job, [], [kv.Put(keys.cancel(job), b"")], job_req.req)
-        _log.info("job_cancel_asked", job=job, status=response.status)
+        _log.info(
+            "job_cancel_asked",
+            job=job,
+            version=job_req.version,
+            configuration_age_s=self._configuration_age_s,
+            status=response.status,
+        )
         return response
 
     async def _write(
@@ -239,7 +256,14 @@
         job_status = _visible_status(item, job_req)
         revision = None if item is None else item.rev
         state = None if job_status is None else job_status.state
-        _log.info("job_asked", job=job_req.job, state=state, revision=revision)
+        _log.info(
+            "job_asked",
+            job=job_req.job,
+            version=job_req.version,
+            configuration_age_s=self._configuration_age_s,
+            state=state,
+            revision=revision,
+        )
         if job_status is None:
             return server.Response(410)
         return server.Response(200, ingress.encode_state(model.JobState(job_status.state)))
--- a/src/bronzequay/net/client.py
+++ b/src/bronzequay/net/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import select
 import socket
 from typing import TYPE_CHECKING
@@ -47,6 +48,34 @@
     """The request may have reached the peer, and no complete response came back."""
 
 
+class Transfer:
+    """Progress of one response, for callers that log or limit it.
+
+    :ivar received_bytes: bytes that have arrived
+    """
+
+    def __init__(self) -> None:
+        self.received_bytes = 0
+        self._began_s = self._latest_s = math.nan
+
+    def record(self, size: int) -> None:
+        """Record that bytes have arrived."""
+        self._latest_s = trio.current_time()
+        if not self.received_bytes:
+            self._began_s = self._latest_s
+        self.received_bytes += size
+
+    @property
+    def receiving_s(self) -> float:
+        """Return the seconds from the first bytes to the latest, 0 before any arrived."""
+        return self._latest_s - self._began_s if self.received_bytes else 0.0
+
+    @property
+    def idle_s(self) -> float:
+        """Return the seconds since the latest bytes arrived, 0 before any did."""
+        return trio.current_time() - self._latest_s if self.received_bytes else 0.0
+
+
 class Response(msgspec.Struct, frozen=True):
     """A complete response.
 
@@ -119,10 +148,11 @@
         self._max_response_bytes = max_response_bytes
         self.is_open = True
 
-    async def exchange(self, message: bytes) -> Response:
+    async def exchange(self, message: bytes, transfer: Transfer) -> Response:
         """Send one request and read its response.
 
         :param message: the encoded request
+        :param transfer: records the progress of the response
         :raises NoResponseError: when the connection ends before the response is complete
         """
         reader = _ResponseReader(self._max_response_bytes)
@@ -134,6 +164,7 @@
                     raise NoResponseError(
                         "the peer closed the connection before the response was complete"
                     )
+                transfer.record(len(data))
                 reader.feed(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise NoResponseError("the connection broke before the response was complete") from exc
@@ -185,23 +216,27 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         timeout_s: float,
+        transfer: Transfer | None = None,
     ) -> Response:
         """Send one request and return its response.
 
         :param timeout_s: seconds for the whole call, including connecting
+        :param transfer: records the progress of the response
         :raises NotSentError: when the peer has not received the request
         :raises NoResponseError: when the peer may have received it
         """
         message = _encode_request(method, path, self.address, body, headers)
+        transfer = transfer or Transfer()
         with trio.move_on_after(timeout_s) as scope:
             conn = await self._acquire(timeout_s)
             try:
-                return await conn.exchange(message)
+                return await conn.exchange(message, transfer)
             finally:
                 if conn.is_open:
                     self._idle.append(conn)
         assert scope.cancelled_caught  # noqa: S101  # only the timeout reaches this line
-        raise NoResponseError(f"no response within {timeout_s:g} s")
+        received = f", {transfer.received_bytes} bytes of it" if transfer.received_bytes else ""
+        raise NoResponseError(f"no response within {timeout_s:g} s{received}")
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -249,4 +284,4 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
-__all__ = ["Client", "Connection", "NoResponseError", "NotSentError", "Response"]
+__all__ = ["Client", "Connection", "NoResponseError", "NotSentError", "Response", "Transfer"]
--- a/src/bronzequay/node.py
+++ b/src/bronzequay/node.py
@@ -16,7 +16,7 @@
 from bronzequay.control import lease, term
 from bronzequay.front import admission, config_watcher, handler
 from bronzequay.net import limits, server
-from bronzequay.obs import dump, log
+from bronzequay.obs import dump, log, loop_delay
 from bronzequay.own import queries
 from bronzequay.platform import kv, machines, settings
 
@@ -89,6 +89,7 @@
         )
         for listener in (self._front, self._ready, self._query_server):
             listener.register_gauges()
+        self._configuration.register_gauges()
         self._is_draining = False
         self._term_count = 0
         self._scheduling_scope = trio.CancelScope()
@@ -103,6 +104,7 @@
                 self._query_server.run,
                 self._run_terms,
                 self._return_freed_memory,
+                loop_delay.measure,
             ):
                 nursery.start_soon(run)
             if self._admission is not None:
@@ -127,7 +129,6 @@
 
     def _dump(self) -> dict[str, Any]:
         """Return this process's state for the state dump, without secrets."""
-        current = self._configuration.current
         return {
             "instance": self._cfg.instance,
             "data_centre": self._cfg.data_centre,
@@ -137,7 +138,8 @@
             },
             "platform": msgspec.to_builtins(self._cfg),
             "process": dump.process_usage(),
-            "configuration_version": None if current is None else current.version,
+            "configuration_version": self._configuration.version,
+            "configuration_age_s": self._configuration.age_s,
             "is_store_in_contact": self._configuration.is_store_reachable,
             "is_leaving": self._is_draining,
             "term": None if self._term is None else self._term.dump(),
--- a/src/bronzequay/platform/kv.py
+++ b/src/bronzequay/platform/kv.py
@@ -116,10 +116,19 @@
         self._http = client.Client(address)
         self._contact = store_contact.StoreContact()
 
-    async def get(self, key: str, *, timeout_s: float = CALL_TIMEOUT_S) -> Item | None:
-        """Return a key's item, None when the key does not exist."""
-        query = urllib.parse.urlencode({"key": key})
-        resp = await self._call("GET", f"/kv-key?{query}", key, timeout_s=timeout_s)
+    async def get(
+        self,
+        key: str,
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+        transfer: client.Transfer | None = None,
+    ) -> Item | None:
+        """Return a key's item, None when the key does not exist.
+
+        :param transfer: records the progress of the answer
+        """
+        path = f"/kv-key?{urllib.parse.urlencode({'key': key})}"
+        resp = await self._call("GET", path, key, timeout_s=timeout_s, transfer=transfer)
         if resp.status == 404:  # noqa: PLR2004
             return None
         return _decode_item(kv_wire.decode(_check_status(resp, key).body, kv_wire.Item))
@@ -191,12 +200,14 @@
         after: ids.Revision,
         wait_s: float,
         margin_s: float = WATCH_MARGIN_S,
+        transfer: client.Transfer | None = None,
     ) -> Snapshot:
         """Wait for changes under a prefix.
 
         :param after: revision after which changes are returned
         :param wait_s: seconds after which the store answers without changes
         :param margin_s: further seconds allowed for the answer to arrive
+        :param transfer: records the progress of the answer
         :raises errors.BronzequayError: HISTORY_LOST when the store has compacted these changes,
             STORE_TIMEOUT also when the store answers other calls again after an outage
         """
@@ -204,7 +215,9 @@
         path = f"/kv-watch?{urllib.parse.urlencode(query)}"
         resp: client.Response | None = None
         with self._contact.watch_scope():
-            resp = await self._call("GET", path, prefix, timeout_s=wait_s + margin_s)
+            resp = await self._call(
+                "GET", path, prefix, timeout_s=wait_s + margin_s, transfer=transfer
+            )
         if resp is None:
             raise errors.BronzequayError(
                 codes.ResultCode.STORE_TIMEOUT, f"a watch from before an outage was ended: {prefix}"
@@ -292,11 +305,14 @@
         *,
         body: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
+        transfer: client.Transfer | None = None,
     ) -> client.Response:
         call = path[1:].partition("?")[0].partition("/")[0]
         started_s = trio.current_time()
         try:
-            resp = await self._http.request(method, path, body=body, timeout_s=timeout_s)
+            resp = await self._http.request(
+                method, path, body=body, timeout_s=timeout_s, transfer=transfer
+            )
         except client.NotSentError as exc:
             figures.count(f'store_calls{{call="{call}",outcome="not_sent"}}')
             self._contact.record_failure(call, str(exc))
--- a/tests/control/network.py
+++ b/tests/control/network.py
@@ -17,6 +17,7 @@
     Handler = Callable[[server.Request], Awaitable[server.Response]]
 
 DELAY_S = 0.002
+PACKET_BYTES = 16_384
 SOURCE = contextvars.ContextVar("SOURCE", default="")
 """Name of the instance that a trio task belongs to."""
 
@@ -27,12 +28,14 @@
     :ivar hosts: handler of each address
     :ivar cut: links on which calls hang until their timeout
     :ivar refused: links on which connections are refused
+    :ivar bytes_per_s: bandwidth of links on which answers take time to arrive
     """
 
     def __init__(self) -> None:
         self.hosts: dict[str, Handler] = {}
         self.cut: set[tuple[str, str]] = set()
         self.refused: set[tuple[str, str]] = set()
+        self.bytes_per_s: dict[tuple[str, str], float] = {}
 
     def install(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """Route the calls of every client through this network."""
@@ -46,8 +49,11 @@
             body: bytes = b"",
             headers: Mapping[str, str] | None = None,
             timeout_s: float,
+            transfer: client.Transfer | None = None,
         ) -> client.Response:
-            return await network.call(this.address, method, path, body, headers, timeout_s)
+            return await network.call(
+                this.address, method, path, body, headers, timeout_s, transfer
+            )
 
         monkeypatch.setattr(client.Client, "request", request)
 
@@ -59,6 +65,7 @@
         body: bytes,
         headers: Mapping[str, str] | None,
         timeout_s: float,
+        transfer: client.Transfer | None = None,
     ) -> client.Response:
         """Deliver one call and return its answer."""
         link = (SOURCE.get(), address)
@@ -75,5 +82,13 @@
             if link in self.cut:
                 await trio.sleep_forever()
             await trio.sleep(DELAY_S)
+            await self._transmit(link, len(answer.body), transfer or client.Transfer())
             return client.Response(answer.status, dict(answer.headers), answer.body)
         raise client.NoResponseError("no answer")
+
+    async def _transmit(self, link: tuple[str, str], size: int, transfer: client.Transfer) -> None:
+        bytes_per_s = self.bytes_per_s.get(link, float("inf"))
+        for start in range(0, size, PACKET_BYTES):
+            packet_bytes = min(PACKET_BYTES, size - start)
+            await trio.sleep(packet_bytes / bytes_per_s)
+            transfer.record(packet_bytes)
