--- /dev/null
+++ b/tests/front/test_configuration.py
@@ -0,0 +1,120 @@
+"""Instances on slow links: when a new configuration is in force there, and what they answer by."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import pytest
+import trio
+
+from bronzequay.fakes import kv
+from bronzequay.net import server
+from tests.control.site import CONFIG, STORE, Site
+
+if TYPE_CHECKING:
+    from trio.testing import MockClock
+
+JOB = "00ff00ff00ff00ff"
+SLOW_LINK = 5_000_000 / 8
+"""Bytes a second on the slowest links of the users' sheets."""
+CONFIG_S = 3.0
+"""Time of the same sheets within which a configuration has to be in force."""
+MANY_ROUTES = 4200
+"""The store holds values of up to a megabyte; this many routes have 0.74 MB."""
+
+
+@pytest.fixture
+async def site(
+    autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch, nursery: trio.Nursery
+) -> Site:
+    return Site(monkeypatch, nursery)
+
+
+def with_routes(version: int, count: int) -> dict[str, Any]:
+    """Return a configuration with further routes; the one to /new/ is its last."""
+    padding = "x" * 90
+    names = [f"more-{number}-{padding}" for number in range(count - 1)]
+    more = [
+        {"name": name, "host": "h", "prefix": f"/{name[:12]}/", "service": "service"}
+        for name in names
+    ]
+    new = {"name": "new", "host": "h", "prefix": "/new/", "service": "service"}
+    return {**CONFIG, "version": version, "routes": [*CONFIG["routes"], *more, new]}
+
+
+@pytest.mark.parametrize("waited_s", [0.1, 1.0, 1.9])
+async def test_a_configuration_that_takes_long_to_arrive_is_in_force_in_time(
+    autojump_clock: MockClock, site: Site, waited_s: float
+) -> None:
+    """A watch's time limit must not cut off an answer that is arriving.
+
+    :param waited_s: time for which the watch has waited when the configuration changes
+    """
+    send = await site.start_front("f")
+    site.network.bytes_per_s["f", STORE] = SLOW_LINK
+    await trio.sleep(waited_s)
+    site.configure(with_routes(2, MANY_ROUTES))
+    await trio.sleep(CONFIG_S)
+    assert (await send("GET", f"/new/{JOB}")).status == 410
+
+
+async def test_an_instance_on_a_slow_link_starts_with_a_large_configuration(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """The time limit of the first read must not cut off an answer that is arriving."""
+    site.configure(with_routes(2, MANY_ROUTES))
+    site.network.bytes_per_s["f", STORE] = SLOW_LINK
+    with trio.fail_after(CONFIG_S):
+        send = await site.start_front("f")
+    assert (await send("GET", f"/new/{JOB}")).status == 410
+
+
+async def test_a_configuration_that_is_arriving_survives_a_lost_call(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """The end of an outage restarts waiting watches, but not one whose answer is arriving."""
+    send = await site.start_front("f")
+    site.network.bytes_per_s["f", STORE] = SLOW_LINK
+    await trio.sleep(0.1)
+    site.configure(with_routes(2, MANY_ROUTES))
+    await trio.sleep(0.5)
+    site.kv.faults = kv.Faults(busy=True)
+    assert (await send("GET", f"/q1/{JOB}")).status == 503
+    await trio.sleep(0.4)
+    site.kv.faults = kv.Faults()
+    assert (await send("GET", f"/q1/{JOB}")).status == 410
+    await trio.sleep(CONFIG_S - 0.9)
+    assert (await send("GET", f"/new/{JOB}")).status == 410
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "key"),
+    [
+        ("GET", f"/q1/{JOB}", "key-one"),
+        ("POST", f"/q1/{JOB}", "key-one"),
+        ("GET", f"/new/{JOB}", "key-one"),
+        ("GET", f"/q1/{JOB}", "key-three"),
+    ],
+)
+async def test_callers_are_not_answered_by_a_configuration_that_may_have_changed(
+    autojump_clock: MockClock, site: Site, method: str, path: str, key: str
+) -> None:
+    """Neither withdrawn keys and routes nor new ones are answered by the version before.
+
+    The store refuses reads of the configuration alone, and answers all other calls.
+    """
+    send = await site.start_front("f")
+
+    async def refuse_configuration(req: server.Request) -> server.Response:
+        is_refused = "op%2Fconfig" in req.query
+        return server.Response(429) if is_refused else await site.kv.handle(req)
+
+    site.network.hosts[STORE] = refuse_configuration
+    tenants = [{"name": "one", "apiKeys": ["key-three"]}]
+    site.configure({**with_routes(2, 1), "tenants": tenants})
+    await trio.sleep(CONFIG_S)
+    body = {"spec": "x", "steps": [{"count": 1}]}
+    assert (await send(method, path, body, key)).status == 503
+    site.network.hosts[STORE] = site.kv.handle
+    await trio.sleep(1.0)
+    assert (await send("GET", f"/new/{JOB}", None, "key-three")).status == 410
