Answers of any size may take as long as they arrive

Callers saw 200, 401 and 404 by a configuration that had been replaced more than configMs before, and instances on 5 Mbit/s links never got a later one. Cause: the time limit of a call counted to the end of its answer. 4,200 routes need 1.8 s there; a watch was cut off at 2.75 s (of which up to 2 s pass before the change), reads at 0.4, 0.8 and 1.5 s, each from the first byte again. Evidence: configuration_unreachable with received_bytes=901120 of 1134647 at 1.5 s, for ever. Change: a call that passes a Transfer has its time limit until the answer begins; after that the answer may take as long as it arrives, without a pause of 1 s and not below a tenth of the slowest link's rate. Reads and watches of the configuration pass one. An answer that is arriving counts as contact with the store. Why this works: the limit no longer depends on the size, and a lost connection is still noticed by its pause.

--- a/src/bronzequay/front/config_watcher.py
+++ b/src/bronzequay/front/config_watcher.py
@@ -38,6 +38,7 @@
         self.loaded = trio.Event()
         self._last_answer_s = float("-inf")
         self._confirmed_s = float("-inf")
+        self._transfer = client.Transfer()
 
     def register_gauges(self) -> None:
         """Add version and age of the configuration to the metrics."""
@@ -59,49 +60,52 @@
 
     @property
     def is_store_reachable(self) -> bool:
-        """Return whether the store has answered recently."""
-        return trio.current_time() - self._last_answer_s < REACHABLE_S
+        """Return whether the store has answered recently, or its answer is arriving."""
+        is_receiving = self._transfer.received_bytes > 0 and self._transfer.idle_s < REACHABLE_S
+        return is_receiving or trio.current_time() - self._last_answer_s < REACHABLE_S
 
     async def run(self) -> None:
         """Read the configuration, then watch it, until cancelled."""
         timeout_s = kv.FIRST_TIMEOUT_S
         while True:
-            transfer, sent_s = client.Transfer(), clock.boot_s()
+            self._transfer, sent_s = client.Transfer(), clock.boot_s()
             try:
-                item = await self._store.get(config.KEY, timeout_s=timeout_s, transfer=transfer)
+                item = await self._store.get(
+                    config.KEY, timeout_s=timeout_s, transfer=self._transfer
+                )
                 timeout_s = kv.FIRST_TIMEOUT_S
                 self._last_answer_s = trio.current_time()
                 if item is None:
                     await trio.sleep(RETRY_DELAY_S)
                     continue
-                self._adopt(item, transfer)
+                self._adopt(item)
                 self._confirmed_s = sent_s
                 rev = item.seen_rev
                 while True:
-                    transfer, sent_s = client.Transfer(), clock.boot_s()
+                    self._transfer, sent_s = client.Transfer(), clock.boot_s()
                     changes = await self._store.watch(
-                        config.KEY, after=rev, wait_s=WATCH_S, transfer=transfer
+                        config.KEY, after=rev, wait_s=WATCH_S, transfer=self._transfer
                     )
                     self._last_answer_s = trio.current_time()
                     rev = changes.rev
                     for change in changes.items:
-                        self._adopt(change, transfer)
+                        self._adopt(change)
                     self._confirmed_s = sent_s
             except errors.BronzequayError as exc:
                 figures.count("configuration_reads_failed")
                 _log.info(
                     "configuration_unreachable",
                     error=str(exc),
-                    received_bytes=transfer.received_bytes,
-                    receiving_s=round(transfer.receiving_s, 3),
+                    received_bytes=self._transfer.received_bytes,
+                    receiving_s=round(self._transfer.receiving_s, 3),
                     version=self.version,
                     age_s=round(self.age_s, 3),
                 )
-                # A configuration of several hundred KB takes longer on a slow link.
+                # Other answers may occupy a slow link for longer.
                 timeout_s = min(kv.CALL_TIMEOUT_S, 2 * timeout_s)
                 await trio.sleep(RETRY_DELAY_S)
 
-    def _adopt(self, item: Item, transfer: client.Transfer) -> None:
+    def _adopt(self, item: Item) -> None:
         if item.value is None or item.key != config.KEY:
             return
         try:
@@ -113,15 +117,15 @@
             return
         self.current = decoded
         self.loaded.set()
-        figures.observe("configuration_transfer", transfer.receiving_s)
+        figures.observe("configuration_transfer", self._transfer.receiving_s)
         _log.info(
             "configuration_adopted",
             version=decoded.version,
             revision=item.rev,
             value_bytes=len(item.value),
-            received_bytes=transfer.received_bytes,
-            receiving_s=round(transfer.receiving_s, 3),
-            applying_s=round(transfer.idle_s, 3),
+            received_bytes=self._transfer.received_bytes,
+            receiving_s=round(self._transfer.receiving_s, 3),
+            applying_s=round(self._transfer.idle_s, 3),
             age_s=round(self.age_s, 3),
         )
 
--- a/src/bronzequay/net/client.py
+++ b/src/bronzequay/net/client.py
@@ -28,6 +28,10 @@
 """Limit on bytes of a response in a row that are no part of its body: two reads."""
 CONNECT_TIMEOUT_S = 1.0
 """Connecting takes a few milliseconds; the kernel resends a lost SYN only after one second."""
+STALL_TIMEOUT_S = 1.0
+"""Longest pause within a response; other traffic on a slow link delays it by half a second."""
+MIN_BYTES_PER_S = 65_536
+"""Slowest transfer over its whole duration, a tenth of what the slowest links carry."""
 UNACKED_TIMEOUT_MS = 4000
 """TCP_USER_TIMEOUT: limit on how long sent bytes may stay unacknowledged; a backstop behind the
 timeout of each call."""
@@ -49,7 +53,10 @@
 
 
 class Transfer:
-    """Progress of one response, for callers that log or limit it.
+    """Progress of one response whose size, and so its duration, is not limited.
+
+    The time limit of its call then applies to the begin of the response. After that the response
+    may go on for as long as it arrives: without a pause, and not at a trickle.
 
     :ivar received_bytes: bytes that have arrived
     """
@@ -57,6 +64,11 @@
     def __init__(self) -> None:
         self.received_bytes = 0
         self._began_s = self._latest_s = math.nan
+        self._scope: trio.CancelScope | None = None
+
+    def limit(self, scope: trio.CancelScope) -> None:
+        """Extend a scope's deadline with each part of the response that arrives."""
+        self._scope = scope
 
     def record(self, size: int) -> None:
         """Record that bytes have arrived."""
@@ -64,6 +76,9 @@
         if not self.received_bytes:
             self._began_s = self._latest_s
         self.received_bytes += size
+        if self._scope is not None:
+            slowest_s = self._began_s + self.received_bytes / MIN_BYTES_PER_S
+            self._scope.deadline = min(self._latest_s, slowest_s) + STALL_TIMEOUT_S
 
     @property
     def receiving_s(self) -> float:
@@ -220,22 +235,29 @@
     ) -> Response:
         """Send one request and return its response.
 
-        :param timeout_s: seconds for the whole call, including connecting
-        :param transfer: records the progress of the response
+        :param timeout_s: seconds for the whole call, including connecting; with ``transfer`` for
+            the call until its response begins
+        :param transfer: limits the rest of the response
         :raises NotSentError: when the peer has not received the request
         :raises NoResponseError: when the peer may have received it
         """
         message = _encode_request(method, path, self.address, body, headers)
-        transfer = transfer or Transfer()
+        progress = transfer or Transfer()
         with trio.move_on_after(timeout_s) as scope:
+            if transfer is not None:
+                transfer.limit(scope)
             conn = await self._acquire(timeout_s)
             try:
-                return await conn.exchange(message, transfer)
+                return await conn.exchange(message, progress)
             finally:
                 if conn.is_open:
                     self._idle.append(conn)
         assert scope.cancelled_caught  # noqa: S101  # only the timeout reaches this line
-        received = f", {transfer.received_bytes} bytes of it" if transfer.received_bytes else ""
+        size = progress.received_bytes
+        if transfer is not None and size:
+            elapsed_s = round(progress.receiving_s, 3)
+            raise NoResponseError(f"the response stopped after {size} bytes and {elapsed_s} s")
+        received = f", {size} bytes of it" if size else ""
         raise NoResponseError(f"no response within {timeout_s:g} s{received}")
 
     def close(self) -> None:
--- a/src/bronzequay/platform/kv.py
+++ b/src/bronzequay/platform/kv.py
@@ -21,8 +21,8 @@
 FIRST_TIMEOUT_S = 0.4
 """Timeout of a small read that is repeated soon; a slow store takes 0.25 s."""
 WATCH_MARGIN_S = 0.75
-"""Time allowed for the answer of a watch beyond the wait that the watch requests: a slow store
-takes 0.25 s, and 100 KB take 0.4 s on the slowest links."""
+"""Time in which the answer of a watch has to begin, beyond the wait that the watch requests: a slow
+store takes 0.25 s, and other answers occupy a slow link."""
 BULK_WATCH_MARGIN_S = 1.5
 """The same for prefixes with thousands of changes a second. A watch that ends too soon begins again
 from the same revision, with more to read."""
@@ -125,7 +125,8 @@
     ) -> Item | None:
         """Return a key's item, None when the key does not exist.
 
-        :param transfer: records the progress of the answer
+        :param timeout_s: with ``transfer`` the time until the answer begins
+        :param transfer: limits the rest of an answer of any size
         """
         path = f"/kv-key?{urllib.parse.urlencode({'key': key})}"
         resp = await self._call("GET", path, key, timeout_s=timeout_s, transfer=transfer)
@@ -206,8 +207,9 @@
 
         :param after: revision after which changes are returned
         :param wait_s: seconds after which the store answers without changes
-        :param margin_s: further seconds allowed for the answer to arrive
-        :param transfer: records the progress of the answer
+        :param margin_s: further seconds allowed for the answer to arrive, with ``transfer`` for it
+            to begin
+        :param transfer: limits the rest of an answer of any size
         :raises errors.BronzequayError: HISTORY_LOST when the store has compacted these changes,
             STORE_TIMEOUT also when the store answers other calls again after an outage
         """
