A watch whose answer is arriving is not cancelled after an outage

Callers on slow links got 404 for a new route after configMs where one other call had failed meanwhile: the configuration was read from its first byte again. Cause: when the store answers again after 0.3 s, watches that are waiting are cancelled, since their connections may be silent; that included those whose answer was arriving. A large configuration causes such calls itself: it occupies the link for longer than a read's time limit of 0.4 s. Change: a watch that has received data is left alone; its pause limit detects a silent connection.

--- a/src/bronzequay/platform/kv.py
+++ b/src/bronzequay/platform/kv.py
@@ -216,7 +216,7 @@
         query = {"prefix": prefix, "after": after, "waitMs": round(wait_s * 1000)}
         path = f"/kv-watch?{urllib.parse.urlencode(query)}"
         resp: client.Response | None = None
-        with self._contact.watch_scope():
+        with self._contact.watch_scope(transfer or client.Transfer()):
             resp = await self._call(
                 "GET", path, prefix, timeout_s=wait_s + margin_s, transfer=transfer
             )
--- a/src/bronzequay/platform/store_contact.py
+++ b/src/bronzequay/platform/store_contact.py
@@ -11,6 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from bronzequay.net import client
+
 MIN_OUTAGE_S = 0.3
 """Time without an answer from which waiting watches are restarted; one lost answer, repeated after
 0.1 s, is no outage."""
@@ -31,7 +33,7 @@
     def __init__(self) -> None:
         self.lost_since_s: float | None = None
         self._answered_s = self._failed_s = float("-inf")
-        self._watches: dict[trio.CancelScope, float] = {}
+        self._watches: dict[trio.CancelScope, tuple[float, client.Transfer]] = {}
         self._failures = 0
         self._slow_calls = 0
         self._slowest_s = 0.0
@@ -46,13 +48,15 @@
         return self.lost_since_s is not None and self._failed_s - self.lost_since_s >= duration_s
 
     @contextlib.contextmanager
-    def watch_scope(self) -> Iterator[trio.CancelScope]:
+    def watch_scope(self, transfer: client.Transfer) -> Iterator[trio.CancelScope]:
         """Cancel a watch that is still waiting when the store answers again after an outage.
 
         A connection that went silent in the outage may never deliver the watch's answer.
+
+        :param transfer: its answer, which is not waited for any more once it has begun to arrive
         """
         with trio.CancelScope() as scope:
-            self._watches[scope] = trio.current_time()
+            self._watches[scope] = (trio.current_time(), transfer)
             try:
                 yield scope
             finally:
@@ -82,8 +86,8 @@
             self._record_slow_call(call, elapsed_s)
 
     def _cancel_watches(self, *, begun_before_s: float) -> None:
-        for scope, begun_s in self._watches.items():
-            if begun_s < begun_before_s:
+        for scope, (begun_s, transfer) in self._watches.items():
+            if begun_s < begun_before_s and not transfer.received_bytes:
                 scope.cancel()
 
     def _record_slow_call(self, call: str, elapsed_s: float) -> None:
