Callers are answered only by a configuration that is known to be current

Callers got 200, 401 and 404 by a configuration whose successor had to be in force, for as long as an instance could not read the configuration and could reach the store otherwise. Cause: the cached configuration had no age. Change: the watcher knows since when changes may be missing: an answered read or watch proves that there were none before it was sent, a watch that was answered after its whole wait none before the wait's end. Past the time for which the platform allows an older version (bounds.configMs) callers get 503 with Retry-After, and the instance is not ready. Watches are shortened by the time that the configuration takes to arrive, and one lost watch refuses nobody. Without bounds.configMs nothing changes. Why this works: a version that is missing was acknowledged after the proven time, so its own limit has not passed; what the cause of the delay is does not matter.

--- a/src/bronzequay/front/handler.py
+++ b/src/bronzequay/front/handler.py
@@ -75,8 +75,17 @@
     async def handle(self, req: server.Request) -> server.Response:
         """Respond to one request."""
         current = self._configuration.current
-        if current is None:
-            _log.warning("request_refused", path=req.path, status=503, why="no configuration yet")
+        if current is None or not self._configuration.is_confirmed:
+            # A later version may withdraw what this request uses, or add what it asks for.
+            _log.warning(
+                "request_refused",
+                path=req.path,
+                status=503,
+                why="no configuration yet" if current is None else "configuration unconfirmed",
+                version=self._configuration.version,
+                configuration_age_s=self._configuration_age_s,
+            )
+            figures.count('requests_refused{why="configuration_unconfirmed"}')
             return _unavailable(503)
         started_s = trio.current_time()
         try:
--- a/src/bronzequay/node.py
+++ b/src/bronzequay/node.py
@@ -52,7 +52,9 @@
         self._own_settings = own_settings
         self._term: term.Term | None = None
         self._store = kv.Store(cfg.store_address)
-        self._configuration = config_watcher.ConfigurationWatcher(self._store)
+        self._configuration = config_watcher.ConfigurationWatcher(
+            self._store, config_s=cfg.config_s
+        )
         self._has_admission = own_settings["admission"].value == "on"
         self._admission = admission.Admission(self._store) if self._has_admission else None
         self._handler = handler.Handler(self._store, self._configuration, self._admission)
@@ -119,7 +121,7 @@
     async def _check_readiness(self, _req: server.Request) -> server.Response:
         is_ready = (
             not self._is_draining
-            and self._configuration.current is not None
+            and self._configuration.is_confirmed
             and self._configuration.is_store_reachable
         )
         return server.Response(200 if is_ready else 503)
--- a/src/bronzequay/platform/settings.py
+++ b/src/bronzequay/platform/settings.py
@@ -48,6 +48,8 @@
     :param grace_s: time between SIGTERM and SIGKILL
     :param early_s: how long before its due time an occurrence may start
     :param status_s: shortest time for which the state of an ended job is kept
+    :param config_s: time within which a configuration takes effect; infinity where the file states
+        none, or 0
     :param evac_s: time within which an evacuation of a data centre takes effect; infinity where the
         file states none, or 0
     :param remote_factor: slow-down of a task that runs off its data's rack or is split over racks
@@ -82,6 +84,7 @@
     grace_s: float
     early_s: float
     status_s: float
+    config_s: float
     evac_s: float
     remote_factor: float
     harm_s: float
@@ -147,6 +150,7 @@
         grace_s=get("bounds.graceS", float, "6"),
         early_s=get("bounds.early_ms", _ms, "250"),
         status_s=get("bounds.status_s", float, "120"),
+        config_s=get("bounds.configMs", _ms_or_unlimited, "0"),
         evac_s=get("bounds.evacMs", _ms_or_unlimited, "0"),
         remote_factor=get("bounds.remoteFactor", float, "3"),
         harm_s=get("bounds.harmMs", _ms, "4000"),
--- a/tests/control/site.py
+++ b/tests/control/site.py
@@ -27,6 +27,7 @@
 
 STORE = "10.0.0.1:80"
 DUTY_LEASE_S = 3.0
+CONFIG_S = 3.0
 CONFIG: dict[str, Any] = {
     "version": 1,
     "routes": [
@@ -64,6 +65,7 @@
         nursery.start_soon(self.world.run)
         self.advice_address = ""
         self.evac_s = term.DEFAULT_EVAC_S
+        self.config_s = CONFIG_S
         self.machine_address = ""
         self.has_admission = False
         self.scopes: dict[str, trio.CancelScope] = {}
@@ -184,7 +186,7 @@
         :param headers: sent with each request, besides the host and the caller's key
         """
         store = stores.Store(STORE)
-        watcher = config_watcher.ConfigurationWatcher(store)
+        watcher = config_watcher.ConfigurationWatcher(store, config_s=self.config_s)
         SOURCE.set(name)
         self.nursery.start_soon(watcher.run)
         await watcher.loaded.wait()
--- a/tests/front/test_configuration.py
+++ b/tests/front/test_configuration.py
@@ -9,7 +9,7 @@
 
 from bronzequay.fakes import kv
 from bronzequay.net import server
-from tests.control.site import CONFIG, STORE, Site
+from tests.control.site import CONFIG, CONFIG_S, STORE, Site
 
 if TYPE_CHECKING:
     from trio.testing import MockClock
@@ -17,8 +17,8 @@
 JOB = "00ff00ff00ff00ff"
 SLOW_LINK = 5_000_000 / 8
 """Bytes a second on the slowest links of the users' sheets."""
-CONFIG_S = 3.0
-"""Time of the same sheets within which a configuration has to be in force."""
+MOST_CONFIRM_S = 0.1
+"""Time from reading a configuration to the confirmation that it is the latest."""
 MANY_ROUTES = 4200
 """The store holds values of up to a megabyte; this many routes have 0.74 MB."""
 
@@ -118,3 +118,51 @@
     site.network.hosts[STORE] = site.kv.handle
     await trio.sleep(1.0)
     assert (await send("GET", f"/new/{JOB}", None, "key-three")).status == 410
+
+
+async def test_an_instance_with_a_large_configuration_answers_all_callers_between_changes(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """The time that a configuration takes to arrive shortens the watches, not the service."""
+    site.configure(with_routes(2, MANY_ROUTES))
+    site.network.bytes_per_s["f", STORE] = SLOW_LINK
+    send = await site.start_front("f")
+    await trio.sleep(MOST_CONFIRM_S)
+    calls_before = site.kv.calls["GET /kv-watch"]
+    for _ in range(100):
+        assert (await send("GET", f"/new/{JOB}")).status == 410
+        await trio.sleep(0.1)
+    assert site.kv.calls["GET /kv-watch"] - calls_before < 50
+
+
+async def test_a_lost_watch_refuses_no_caller(autojump_clock: MockClock, site: Site) -> None:
+    """A connection that goes silent is replaced before the configuration is too old."""
+    send = await site.start_front("f")
+    await trio.sleep(5.0)
+    lost: set[str] = set()
+
+    async def lose_one_watch(req: server.Request) -> server.Response:
+        if req.path == "/kv-watch" and not lost:
+            lost.add(req.query)
+            await trio.sleep_forever()
+        return await site.kv.handle(req)
+
+    site.network.hosts[STORE] = lose_one_watch
+    for _ in range(60):
+        assert (await send("GET", f"/q1/{JOB}")).status == 410
+        await trio.sleep(0.1)
+    assert lost
+
+
+async def test_a_suspended_instance_answers_no_caller_before_it_has_asked_for_changes(
+    autojump_clock: MockClock, site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A suspended machine's steady clock stands still, and its watch's answer is old."""
+    send = await site.start_front("f")
+    await trio.sleep(1.0)
+    site.network.cut.add(("f", STORE))
+    monkeypatch.setattr("bronzequay.clock.boot_s", lambda: trio.current_time() + 10.0)
+    assert (await send("GET", f"/q1/{JOB}")).status == 503
+    site.network.cut.clear()
+    await trio.sleep(5.0)
+    assert (await send("GET", f"/q1/{JOB}")).status == 410
