The own interface accepts API keys only of a current configuration

A key that had been withdrawn went on reading jobs and reports on an instance that could not read the configuration: the same cause as for callers' requests. Change: keys are looked up in the confirmed configuration; without one the answer is 503.

--- a/src/bronzequay/front/config_watcher.py
+++ b/src/bronzequay/front/config_watcher.py
@@ -71,9 +71,9 @@
         return clock.boot_s() - self._confirmed_s
 
     @property
-    def is_confirmed(self) -> bool:
-        """Return whether no later configuration has to be in force yet."""
-        return self.current is not None and self.age_s <= self._limit_s
+    def confirmed(self) -> config.Configuration | None:
+        """Return the current configuration, None if a later one may have to be in force."""
+        return self.current if self.age_s <= self._limit_s else None
 
     @property
     def is_store_reachable(self) -> bool:
--- a/src/bronzequay/front/handler.py
+++ b/src/bronzequay/front/handler.py
@@ -74,25 +74,28 @@
 
     async def handle(self, req: server.Request) -> server.Response:
         """Respond to one request."""
-        current = self._configuration.current
-        if current is None or not self._configuration.is_confirmed:
-            # A later version may withdraw what this request uses, or add what it asks for.
-            _log.warning(
-                "request_refused",
-                path=req.path,
-                status=503,
-                why="no configuration yet" if current is None else "configuration unconfirmed",
-                version=self._configuration.version,
-                configuration_age_s=self._configuration_age_s,
-            )
-            figures.count('requests_refused{why="configuration_unconfirmed"}')
-            return _unavailable(503)
+        current = self._configuration.confirmed
+        if current is None:
+            return self._refuse_unconfirmed(req)
         started_s = trio.current_time()
         try:
             return await self._respond(current, req)
         finally:
             figures.observe("answer", trio.current_time() - started_s)
 
+    def _refuse_unconfirmed(self, req: server.Request) -> server.Response:
+        """Refuse a request: a later version may withdraw what it uses, or add what it asks for."""
+        _log.warning(
+            "request_refused",
+            path=req.path,
+            status=503,
+            why="configuration unconfirmed",
+            version=self._configuration.version,
+            configuration_age_s=self._configuration_age_s,
+        )
+        figures.count('requests_refused{why="configuration_unconfirmed"}')
+        return _unavailable(503)
+
     @property
     def _configuration_age_s(self) -> float:
         return round(self._configuration.age_s, 3)
--- a/src/bronzequay/node.py
+++ b/src/bronzequay/node.py
@@ -121,7 +121,7 @@
     async def _check_readiness(self, _req: server.Request) -> server.Response:
         is_ready = (
             not self._is_draining
-            and self._configuration.is_confirmed
+            and self._configuration.confirmed is not None
             and self._configuration.is_store_reachable
         )
         return server.Response(200 if is_ready else 503)
--- a/src/bronzequay/own/queries.py
+++ b/src/bronzequay/own/queries.py
@@ -121,14 +121,19 @@
     def _identify(self, req: server.Request) -> ids.OrgId | None:
         """Return the organisation of the request's API key; None for the analyst.
 
-        :raises errors.BronzequayError: UNAUTHENTICATED when the key is missing or unknown
+        :raises errors.BronzequayError: UNAUTHENTICATED when the key is missing or unknown,
+            STORE_UNAVAILABLE when the keys may have changed
         """
         scheme, _, key = req.headers.get("authorization", "").partition(" ")
         key = key.strip()
         if self._analyst_token and hmac.compare_digest(key.encode(), self._analyst_token.encode()):
             return None
-        current = self._configuration.current
-        org = None if current is None else current.orgs_by_key.get(key)
+        current = self._configuration.confirmed
+        if current is None:
+            raise errors.BronzequayError(
+                codes.ResultCode.STORE_UNAVAILABLE, "the API keys cannot be read at present"
+            )
+        org = current.orgs_by_key.get(key)
         if scheme.lower() != "bearer" or org is None:
             raise errors.BronzequayError(
                 codes.ResultCode.UNAUTHENTICATED, "the API key is missing or unknown"
--- a/tests/own/test_queries.py
+++ b/tests/own/test_queries.py
@@ -22,7 +22,7 @@
 from bronzequay.platform import kv
 from bronzequay.policy import model as policy_model
 from tests.control.network import SOURCE
-from tests.control.site import ONE_GPU, STORE
+from tests.control.site import CONFIG_S, ONE_GPU, STORE
 
 if TYPE_CHECKING:
     from trio.testing import MockClock
@@ -55,7 +55,7 @@
 async def start_caller(site: Site) -> Caller:
     SOURCE.set("own")
     store = kv.Store(STORE)
-    watcher = config_watcher.ConfigurationWatcher(store)
+    watcher = config_watcher.ConfigurationWatcher(store, config_s=CONFIG_S)
     site.nursery.start_soon(watcher.run)
     await watcher.loaded.wait()
     query_handler = queries.QueryHandler(
@@ -231,3 +231,17 @@
     assert (await caller.read("/v1/report?to=1"))["lines"] == []
     assert "predictions" not in await caller.read("/v1/report")
     assert (await caller.send("/v1/report?from=x")).status == 400
+
+
+async def test_a_key_that_may_have_been_withdrawn_is_not_accepted(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against keys of a configuration that could not be read for any length of time."""
+    caller = await start_caller(site)
+    assert (await caller.send("/v1/jobs")).status == 200
+    site.network.cut.add(("own", STORE))
+    await trio.sleep(CONFIG_S)
+    site.network.cut.clear()
+    assert (await caller.send("/v1/jobs")).status == 503
+    await trio.sleep(CONFIG_S)
+    assert (await caller.send("/v1/jobs")).status == 200
