Listings and watches of any size may take as long as they arrive

The cause of the stale configurations, looked for elsewhere: a page of 1 MB of jobs takes 1.8 s on a 5 Mbit/s link and was cut off at 1.5 s, so that a scheduler there ended term after term without a start; a watch that brought many jobs was cut off at 3.5 s and began again with more to read. Change: pages and watches limit the time until an answer begins and its pauses. Only the watch of the workers' entries keeps a limit on the whole, after which all entries are read instead: entries change all the time, so its answers would grow without end.

--- a/src/bronzequay/control/prefix.py
+++ b/src/bronzequay/control/prefix.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NoReturn
 
 import structlog
@@ -55,7 +56,7 @@
     wait_s: float,
     margin_s: float = kv.BULK_WATCH_MARGIN_S,
     pause_s: float = 0.0,
-    rereads: bool = False,
+    answer_s: float = float("inf"),
     reread_s: float = float("inf"),
     on_answer: Callable[[float], None] = _ignore,
 ) -> NoReturn:
@@ -66,10 +67,11 @@
     :param on_snapshot: called with all items when the store no longer has the changes since
         ``rev``, or they are read again for another reason
     :param wait_s: longest wait of one watch call
-    :param margin_s: time allowed for the answer of a watch call beyond its wait
+    :param margin_s: time allowed for the answer of a watch call to begin, beyond its wait
     :param pause_s: time between two watch calls, so that changes arrive in batches
-    :param rereads: whether all items are read after a watch without an answer. Where many keys
-        change all the time, the changes pile up until they take longer than any time limit.
+    :param answer_s: limit on the time that the answer of a watch call takes to arrive, after which
+        all items are read instead. Where many keys change all the time, answers contain more
+        superseded changes the longer the previous one took.
     :param reread_s: time after which all items are read again, also if every watch is answered
     :param on_answer: called after each answered call, once its changes have been reported, with a
         time, on the boot clock, whose changes are reported
@@ -83,10 +85,12 @@
                 rev, read_s = snapshot.rev, sent_s
                 on_snapshot(snapshot.items)
                 on_answer(sent_s)
-            changes = await store.watch(prefix, after=rev, wait_s=wait_s, margin_s=margin_s)
+            changes = await store.watch(
+                prefix, after=rev, wait_s=wait_s, margin_s=margin_s, answer_s=answer_s
+            )
         except errors.BronzequayError as exc:
             is_lost = exc.code is codes.ResultCode.HISTORY_LOST
-            is_behind = rereads and exc.code is codes.ResultCode.STORE_TIMEOUT
+            is_behind = math.isfinite(answer_s) and exc.code is codes.ResultCode.STORE_TIMEOUT
             if not is_lost and not is_behind:
                 await trio.sleep(RETRY_S)
                 continue
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -25,6 +25,8 @@
 BATCH_PAUSE_S = 0.4
 """Pause between watch calls, so that changes arrive in batches. Each worker writes its entry every
 1.5 s, and a draining one may still be sent starts for 2 s."""
+ANSWER_S = 1.0
+"""Time for the answer of a watch to arrive, after which all entries are read instead."""
 DEFAULT_REMAINING_S = 2.0
 """Time until departure that is assumed of a draining worker whose entry states none: the platform's
 ``drainMs``, for which it stays at least."""
@@ -90,7 +92,7 @@
                 on_snapshot=self._on_snapshot,
                 wait_s=WATCH_S,
                 pause_s=BATCH_PAUSE_S,
-                rereads=True,
+                answer_s=ANSWER_S,
             )
 
     def _on_snapshot(self, items: tuple[Item, ...]) -> None:
--- a/src/bronzequay/net/client.py
+++ b/src/bronzequay/net/client.py
@@ -58,11 +58,13 @@
     The time limit of its call then applies to the begin of the response. After that the response
     may go on for as long as it arrives: without a pause, and not at a trickle.
 
+    :param max_s: limit on the time from its first bytes to its last
     :ivar received_bytes: bytes that have arrived
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, max_s: float = math.inf) -> None:
         self.received_bytes = 0
+        self._max_s = max_s
         self._began_s = self._latest_s = math.nan
         self._scope: trio.CancelScope | None = None
 
@@ -78,7 +80,8 @@
         self.received_bytes += size
         if self._scope is not None:
             slowest_s = self._began_s + self.received_bytes / MIN_BYTES_PER_S
-            self._scope.deadline = min(self._latest_s, slowest_s) + STALL_TIMEOUT_S
+            stalled_s = min(self._latest_s, slowest_s) + STALL_TIMEOUT_S
+            self._scope.deadline = min(stalled_s, self._began_s + self._max_s)
 
     @property
     def receiving_s(self) -> float:
--- a/src/bronzequay/platform/kv.py
+++ b/src/bronzequay/platform/kv.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import math
 import urllib.parse
 from typing import TYPE_CHECKING, Any
 
@@ -24,8 +25,7 @@
 """Time in which the answer of a watch has to begin, beyond the wait that the watch requests: a slow
 store takes 0.25 s, and other answers occupy a slow link."""
 BULK_WATCH_MARGIN_S = 1.5
-"""The same for prefixes with thousands of changes a second. A watch that ends too soon begins again
-from the same revision, with more to read."""
+"""The same for prefixes with thousands of changes a second."""
 PROBE_KEY = "bronzequay/leader"
 """Key that probes read; whether it exists does not matter."""
 FRESH_S = 0.05
@@ -189,7 +189,8 @@
         if is_stale_ok:
             query["serializable"] = "1"
         path = f"/kv-range?{urllib.parse.urlencode(query)}"
-        resp = await self._call("GET", path, prefix)
+        # A page of 1 MB takes longer on a slow link than other calls may.
+        resp = await self._call("GET", path, prefix, transfer=client.Transfer())
         wire = kv_wire.decode(_check_status(resp, prefix).body, kv_wire.Range)
         items = tuple(map(_decode_item, wire.items))
         return Page(items, ids.Revision(wire.at), wire.hasMore and bool(items))
@@ -201,22 +202,24 @@
         after: ids.Revision,
         wait_s: float,
         margin_s: float = WATCH_MARGIN_S,
+        answer_s: float = math.inf,
         transfer: client.Transfer | None = None,
     ) -> Snapshot:
         """Wait for changes under a prefix.
 
         :param after: revision after which changes are returned
         :param wait_s: seconds after which the store answers without changes
-        :param margin_s: further seconds allowed for the answer to arrive, with ``transfer`` for it
-            to begin
-        :param transfer: limits the rest of an answer of any size
+        :param margin_s: further seconds allowed for the answer to begin
+        :param answer_s: limit on the time from its first bytes to its last
+        :param transfer: records its progress
         :raises errors.BronzequayError: HISTORY_LOST when the store has compacted these changes,
             STORE_TIMEOUT also when the store answers other calls again after an outage
         """
         query = {"prefix": prefix, "after": after, "waitMs": round(wait_s * 1000)}
         path = f"/kv-watch?{urllib.parse.urlencode(query)}"
         resp: client.Response | None = None
-        with self._contact.watch_scope(transfer or client.Transfer()):
+        transfer = transfer or client.Transfer(max_s=answer_s)
+        with self._contact.watch_scope(transfer):
             resp = await self._call(
                 "GET", path, prefix, timeout_s=wait_s + margin_s, transfer=transfer
             )
--- a/tests/control/test_outage.py
+++ b/tests/control/test_outage.py
@@ -128,7 +128,7 @@
             on_change=lambda _: None,
             on_snapshot=lambda items: snapshots.append([item.key for item in items]),
             wait_s=1.5,
-            rereads=True,
+            answer_s=1.0,
         )
 
     site.network.hosts[STORE] = without_watches
