No start relies on workers' entries that were read too long ago

Change: the age of the copy is counted from when the latest answered read was sent, as that of the evacuations was already; both now use control/freshness.py. Starts wait while the entries are older than drainMs less the time of an order, and a start whose worker is draining or unlisted by the latest entry is withheld right before it is sent. Watches are shortened where drainMs is short. Metric worker_entries_age_seconds, log lines worker_entries_unread and worker_entries_read_again, starts_withheld{why=leaving}.

--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -152,7 +152,8 @@
         """Send a start until it is answered.
 
         The run is stopped if ``MAX_START_ATTEMPTS`` starts go unanswered. It ends as one that never
-        began if its data centre may be under evacuation before a first start could arrive.
+        began if its worker leaves, or its data centre may be under evacuation, before a first start
+        could arrive.
         """
         run = (command.key, command.run)
         may_have_started = False
@@ -161,7 +162,7 @@
             payload = self._term.payload_for(command)
             if payload is None:
                 return
-            if self._term.evacuations.withhold(command, self._data_centre):
+            if self._is_withheld(command):
                 await self._withhold(command, may_have_started=may_have_started)
                 return
             # Recorded before the call: the incarnation may end during it and the start arrive late.
@@ -181,6 +182,23 @@
                 return
         self._term.post(lambda state: lifecycle.abandon_start(state, command))
 
+    def _is_withheld(self, command: model.Start) -> bool:
+        """Return whether a start may not be sent now; log and count it then."""
+        if self._term.evacuations.withhold(command, self._data_centre):
+            return True
+        if self._term.roster.may_start(self._worker):
+            return False
+        figures.count('starts_withheld{why="leaving"}')
+        _log.info(
+            "start_withheld",
+            job=command.key.job,
+            task=command.key[1:],
+            run=command.run,
+            worker=self._worker,
+            why="leaving",
+        )
+        return True
+
     async def _withhold(self, command: model.Start, *, may_have_started: bool) -> None:
         """End the run of a start that may not be sent, or not again.
 
--- a/src/bronzequay/control/evacuations.py
+++ b/src/bronzequay/control/evacuations.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import functools
-import math
 from typing import TYPE_CHECKING
 
 import structlog
 
-from bronzequay import clock, figures
-from bronzequay.control import prefix
+from bronzequay import figures
+from bronzequay.control import freshness, prefix
 from bronzequay.platform import evacuations, kv
 
 if TYPE_CHECKING:
@@ -22,16 +21,9 @@
 
 WATCH_S = 1.5
 """Longest wait of one watch call; a silent connection is noticed 0.75 s after it."""
-WAITS_PER_LIMIT = 3
-"""Waits that fit into the time for which a read allows starts: one lost call withholds none."""
 REREAD_S = 1.0
 """Age of the last read of all keys from which the next call is another one, which also finds what
 an answered watch has left out. Between watches of 1.5 s this is one small read each 1.5 s."""
-START_MARGIN_S = 0.6
-"""Time from the check of a start to its arrival at the worker: the timeout of an order."""
-MIN_LIMIT_SHARE = 0.5
-"""Smallest part of ``evacMs`` for which a read allows starts, where ``evacMs`` is short."""
-
 _log = structlog.get_logger()
 
 
@@ -57,31 +49,23 @@
         self._store = store
         self._post = post
         self._epoch = epoch
-        self._limit_s = max(evac_s - START_MARGIN_S, evac_s * MIN_LIMIT_SHARE)
-        self._wait_s = min(WATCH_S, self._limit_s / WAITS_PER_LIMIT)
+        self._freshness = freshness.Freshness("evacuations", evac_s)
         self._evacuated: frozenset[ids.DataCentreId] | None = None
-        self._read_s = float("-inf")
-        self._is_late = False
         self._unreadable_keys: set[str] = set()
 
     @property
     def age_s(self) -> float:
         """Return the time since the last read, infinity before the first."""
-        return clock.boot_s() - self._read_s
+        return self._freshness.age_s
 
     def check_known(self) -> bool:
         """Return whether the evacuations were read recently enough for starts; log a change.
 
         Without a time limit starts do not depend on it.
         """
-        if math.isinf(self._limit_s):
+        if not self._freshness.has_limit:
             return True
-        is_known = self._evacuated is not None and self.age_s <= self._limit_s
-        if self._evacuated is not None and is_known is self._is_late:
-            self._is_late = not is_known
-            event = "evacuations_read_again" if is_known else "evacuations_unread"
-            _log.warning(event, epoch=self._epoch, age_s=round(self.age_s, 3))
-        return is_known
+        return self._evacuated is not None and self._freshness.check()
 
     def reason_to_withhold(self, data_centre: ids.DataCentreId | None) -> str | None:
         """Return why no start may be sent to a data centre now, None if one may.
@@ -115,9 +99,10 @@
         """Follow the keys until cancelled."""
         figures.gauge("evacuated_data_centres", lambda: len(self._evacuated or ()))
         figures.gauge("evacuations_age_seconds", lambda: self.age_s)
+        wait_s = self._freshness.watch_s(WATCH_S)
         try:
             snapshot = await prefix.read_with_retries(
-                self._store, evacuations.PREFIX, on_answer=self._on_answer
+                self._store, evacuations.PREFIX, on_answer=self._freshness.confirm
             )
             self._on_snapshot(snapshot.items)
             await prefix.follow(
@@ -126,19 +111,16 @@
                 snapshot.rev,
                 on_change=self._on_change,
                 on_snapshot=self._on_snapshot,
-                wait_s=self._wait_s,
+                wait_s=wait_s,
                 margin_s=kv.WATCH_MARGIN_S,
-                reread_s=min(REREAD_S, self._wait_s),
-                on_answer=self._on_answer,
+                reread_s=min(REREAD_S, wait_s),
+                on_answer=self._freshness.confirm,
             )
         finally:
             # An instance that does not schedule reads no evacuations.
             for name in ("evacuated_data_centres", "evacuations_age_seconds"):
                 figures.gauge(name, lambda: 0)
 
-    def _on_answer(self, read_s: float) -> None:
-        self._read_s = max(self._read_s, read_s)
-
     def _on_snapshot(self, items: tuple[Item, ...]) -> None:
         self._adopt({name for item in items if (name := self._data_centre(item)) is not None})
 
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -10,7 +10,7 @@
 import trio
 
 from bronzequay import clock, figures
-from bronzequay.control import delivery, prefix, session
+from bronzequay.control import delivery, freshness, prefix, session
 from bronzequay.core import lifecycle, losses, model, resize, rollout
 from bronzequay.platform import executor_entries, workers
 
@@ -44,12 +44,15 @@
     """Follows the workers' entries and manages their sessions.
 
     :param term: the term that the sessions belong to
+    :param drain_s: time after the announcement of a drain from which a worker gets no starts
+    :ivar entries: how old the workers' entries are
     :ivar first_listings: limits the sessions that read their first listing at the same time
     """
 
-    def __init__(self, store: Store, term: Term) -> None:
+    def __init__(self, store: Store, term: Term, *, drain_s: float) -> None:
         self._store = store
         self._term = term
+        self.entries = freshness.Freshness("worker_entries", drain_s)
         self._sessions: dict[ids.ExecutorId, session.Session] = {}
         self.first_listings = trio.CapacityLimiter(MAX_FIRST_LISTINGS)
         self._unanswered_starts: dict[ids.ExecutorId, tuple[model.Start, ...]] = {}
@@ -72,6 +75,13 @@
         mates = mates or list(self._sessions.values())
         return sum(mate.is_in_contact for mate in mates) * 2 > len(mates)
 
+    def may_start(self, worker: ids.WorkerId) -> bool:
+        """Return whether a worker is listed and not draining by its latest entry."""
+        current = self._sessions.get(executor_entries.executor_of(worker))
+        if current is None or current.worker != worker:
+            return False
+        return current.is_listed and not current.entry.is_draining
+
     def dispatch(self, command: model.Command) -> None:
         """Pass an order to its worker's session; drop it if that incarnation has ended."""
         current = self._sessions.get(executor_entries.executor_of(command.worker))
@@ -80,20 +90,31 @@
 
     async def run(self) -> None:
         """Open a session for each worker and follow the entries until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            snapshot = await prefix.read_with_retries(self._store, executor_entries.PREFIX)
-            self._on_snapshot(snapshot.items)
-            await prefix.follow(
-                self._store,
-                executor_entries.PREFIX,
-                snapshot.rev,
-                on_change=self._on_change,
-                on_snapshot=self._on_snapshot,
-                wait_s=WATCH_S,
-                pause_s=BATCH_PAUSE_S,
-                answer_s=ANSWER_S,
-            )
+        figures.gauge("worker_entries_age_seconds", lambda: self.entries.age_s)
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                await self._follow()
+        finally:
+            # An instance that does not schedule reads no entries.
+            figures.gauge("worker_entries_age_seconds", lambda: 0)
+
+    async def _follow(self) -> None:
+        snapshot = await prefix.read_with_retries(
+            self._store, executor_entries.PREFIX, on_answer=self.entries.confirm
+        )
+        self._on_snapshot(snapshot.items)
+        await prefix.follow(
+            self._store,
+            executor_entries.PREFIX,
+            snapshot.rev,
+            on_change=self._on_change,
+            on_snapshot=self._on_snapshot,
+            wait_s=self.entries.watch_s(WATCH_S),
+            pause_s=BATCH_PAUSE_S,
+            on_answer=self.entries.confirm,
+            answer_s=ANSWER_S,
+        )
 
     def _on_snapshot(self, items: tuple[Item, ...]) -> None:
         listed = {executor_entries.executor_from_key(item.key) for item in items}
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -39,6 +39,8 @@
 """Time between two checks for due occurrences; an occurrence starts at most this late."""
 DEFAULT_EVAC_S = 5.0
 """The platform's default of ``evacMs``."""
+DEFAULT_DRAIN_S = 2.0
+"""The platform's default of ``drainMs``."""
 TRUST_POLL_S = 0.1
 MAX_MISSED_BEATS = 2
 ENTRY_DELAY_S = 1.0
@@ -59,6 +61,7 @@
     :param rules: returns the rules in force
     :param max_run_lease_s: longest lease that a worker accepts for its runs
     :param beat_s: time between two writes of a worker's entry
+    :param drain_s: time after the announcement of a drain from which a worker gets no starts
     :param evac_s: time within which an evacuation of a data centre must take effect
     :param remote_factor: slow-down of a task off its data's rack, or of a gang spread over racks
     :param advice_address: ``IP:PORT`` of the advice service, empty when there is none
@@ -76,6 +79,7 @@
         *,
         max_run_lease_s: float,
         beat_s: float,
+        drain_s: float = DEFAULT_DRAIN_S,
         evac_s: float = DEFAULT_EVAC_S,
         remote_factor: float = 3.0,
         advice_address: str = "",
@@ -88,7 +92,7 @@
         self.evacuations = evacuations.Evacuations(
             store, self.post, epoch=leader_lease.epoch, evac_s=evac_s
         )
-        self.roster = roster.Roster(store, self)
+        self.roster = roster.Roster(store, self, drain_s=drain_s)
         self._lease = leader_lease
         self._sweep = functools.partial(sweep.run, store, retention_s=retention_s)
         self._publish_waits = functools.partial(
@@ -129,11 +133,12 @@
             await trio.sleep(TRUST_POLL_S)
 
     async def wait_until_startable(self, worker_id: ids.WorkerId) -> None:
-        """Wait until starts may be sent to a worker whose capacity is known."""
+        """Wait until starts may be sent to a worker, by entries that are not too old."""
         while True:
             await self.wait_until_trusted()
             worker = self._state.workers.get(worker_id)
-            if worker is None or self._state.is_capacity_known(worker, trio.current_time()):
+            is_known = worker is None or self._state.is_capacity_known(worker, trio.current_time())
+            if is_known and self.roster.entries.check():
                 return
             await trio.sleep(TRUST_POLL_S)
 
