Soak: configurations that grow, slow links to the store, and versions in force in time

A probe that gets 404 for a route whose version was written more than configMs before it was sent is a breach, whatever faults there are. Watches that leave changes out are allowed for.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -242,7 +242,9 @@
             self.breaches.append(f"{instance.name} cut off {call} while it was shutting down")
 
     async def probe_configuration(self) -> None:
-        """Request the newest route; an instance must serve a route that it has served before.
+        """Request the newest route, which must be in force in time whatever the faults.
+
+        An instance must also serve a route that it has served before.
 
         A restarted instance may have lost routes.
         """
@@ -250,7 +252,10 @@
             await trio.sleep(0.3)
             instance = self._rng.choice(self._site.instances)
             incarnation, version = instance.incarnation, self._site.version
+            sent_s = trio.current_time()
             status, _ = await self._request_route(instance, version)
+            if status == 404 and self._site.versions.is_due(version, sent_s):  # noqa: PLR2004
+                self.breaches.append(f"{instance.name} answers by a version before {version}")
             if instance.incarnation != incarnation:
                 continue
             served = self._served_versions.get((instance.name, incarnation), 0)
--- a/soak/harness.py
+++ b/soak/harness.py
@@ -14,7 +14,7 @@
 
 from bronzequay.fakes import executors, kv
 from bronzequay.net import server
-from soak import evacuations, intrusions, invariants, links, plan
+from soak import configurations, evacuations, intrusions, invariants, links, plan
 from soak.instances import SHUTDOWN_GRACE_S, Instance
 
 if TYPE_CHECKING:
@@ -74,6 +74,7 @@
         restart under their ids when a task has crashed them
     :ivar worker_count: number of workers
     :ivar version: version of the last configuration written
+    :ivar versions: when each version was written
     :ivar injected: number of faults by kind
     :ivar unexpected_exits: descriptions of processes that ended by themselves
     :ivar faults_until_s: planned end of the fault injected last, or the end of an earlier fault
@@ -98,6 +99,7 @@
         self.run_checker = invariants.RunChecker(self.world)
         self.evacuation_checker = evacuations.EvacuationChecker(self.world)
         self.version = 0
+        self.versions = configurations.Versions()
         self.injected: collections.Counter[str] = collections.Counter()
         self.unexpected_exits: list[str] = []
         self.faults_until_s = trio.current_time()
@@ -164,9 +166,13 @@
             {**ROUTES[0], "name": f"v{number}", "prefix": f"/v{number}/"}
             for number in range(1, self.version + 1)
         ]
+        padding = [
+            {**ROUTES[0], "name": f"padding-{number}-{'x' * 90}", "prefix": f"/padding-{number}/"}
+            for number in range(self.versions.padding)
+        ]
         configuration = {
             "version": self.version,
-            "routes": [*ROUTES, *version_routes],
+            "routes": [*ROUTES, *version_routes, *padding],
             "services": [{"name": "service"}],
             "tenants": [
                 {"name": "one", "apiKeys": ["key-one"], "guaranteed": {"gpu": 8}},
@@ -174,6 +180,7 @@
             ],
         }
         self.kv.put("op/config", json.dumps(configuration).encode())
+        self.versions.acknowledge(self.version)
 
     async def inject(self, fault: Fault) -> None:
         """Inject a fault and end it after its duration."""
@@ -197,15 +204,13 @@
         if fault.kind in process_faults:
             await process_faults[fault.kind](instance, fault)
         elif fault.kind in _STORE_FAULTS:
-            self._mark_all_disturbed()
-            self.kv.faults = _STORE_FAULTS[fault.kind]
-            await trio.sleep(fault.duration_s)
-            self.kv.faults = kv.Faults()
-            self._mark_all_disturbed()
+            await self._inject_store_fault(fault)
         elif fault.kind is plan.Kind.STORE_COMPACTS:
             self.kv.compact()
         elif fault.kind is plan.Kind.CONFIGURATION:
             self.write_configuration()
+        elif fault.kind in plan.GROWTHS:
+            await configurations.inject(self, fault)
         elif fault.kind.value.startswith("link"):
             await self._inject_link_fault(instance, fault)
         elif fault.kind in plan.INTRUSIONS | plan.CROWDS:
@@ -216,6 +221,15 @@
             await self._inject_worker_fault(fault)
         self.faults_until_s = max(self.faults_until_s, trio.current_time())
 
+    async def _inject_store_fault(self, fault: Fault) -> None:
+        if fault.kind is plan.Kind.STORE_DEAF:
+            self.versions.unwatchable_s = trio.current_time() + fault.duration_s
+        self._mark_all_disturbed()
+        self.kv.faults = _STORE_FAULTS[fault.kind]
+        await trio.sleep(fault.duration_s)
+        self.kv.faults = kv.Faults()
+        self._mark_all_disturbed()
+
     def worker_link(self, name: str) -> links.Link:
         """Return the link to a worker."""
         return self._worker_links[name]
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from soak import evacuations
+from soak import configurations, evacuations
 
 if TYPE_CHECKING:
     from soak.links import Link
@@ -29,6 +29,7 @@
 listen.front=127.0.0.1:{front}
 listen.ready=127.0.0.1:{ready}
 platform.addr=127.0.0.1:{store}
+bounds.configMs={config_ms}
 bounds.evacMs={evac_ms}
 """
 
@@ -70,6 +71,7 @@
                 front=self.front_port,
                 ready=self.ready_port,
                 store=store.port,
+                config_ms=round(configurations.CONFIG_S * 1000),
                 evac_ms=round(evacuations.EVAC_S * 1000),
             )
         )
--- a/soak/links.py
+++ b/soak/links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 import struct
 from typing import TYPE_CHECKING, Literal
@@ -44,6 +45,7 @@
     :param port: port on which it listens
     :param target: returns the port to which it forwards
     :ivar delay_s: delay of each chunk of data, in seconds
+    :ivar bytes_per_s: bandwidth towards the client, for all connections together
     :ivar cut: directions in which data is held back until ``heal`` is called
     :ivar is_refusing: whether new connections are reset
     :ivar unreachable_s: time at which a connection to the target was last refused or failed
@@ -52,12 +54,14 @@
     def __init__(self, port: int, target: Callable[[], int]) -> None:
         self.port = port
         self.delay_s = 0.0
+        self.bytes_per_s = float("inf")
         self.cut: set[Direction] = set()
         self.is_refusing = False
         self.unreachable_s = float("-inf")
         self._target = target
         self._conns: set[_Connection] = set()
         self._uncut = trio.Event()
+        self._free_s = float("-inf")
 
     def heal(self) -> None:
         """End all lasting faults; data held back by a cut is delivered."""
@@ -125,6 +129,8 @@
             while data := await source.recv(READ_BYTES):
                 if self.delay_s:
                     await trio.sleep(self.delay_s)
+                if direction == "down":
+                    await self._transmit(len(data))
                 await self._wait_until_uncut(direction)
                 if conn.is_silenced:
                     continue
@@ -135,6 +141,13 @@
         except (OSError, trio.ClosedResourceError):
             conn.reset()
 
+    async def _transmit(self, size: int) -> None:
+        """Wait until the data has passed the link, behind all data before it."""
+        if math.isinf(self.bytes_per_s):
+            return
+        self._free_s = max(self._free_s, trio.current_time()) + size / self.bytes_per_s
+        await trio.sleep_until(self._free_s)
+
     async def _wait_until_uncut(self, direction: Direction) -> None:
         while direction in self.cut:
             await self._uncut.wait()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -47,6 +47,8 @@
     ODD_REQUEST = "odd_request"
     EVACUATION = "evacuation"
     HOSTILE_CLIENTS = "hostile_clients"
+    CONFIGURATION_GROWS = "configuration_grows"
+    STORE_LINK_SLOW = "store_link_slow"
 
 
 class Target(enum.Enum):
@@ -79,6 +81,8 @@
 """Added to the length of an evacuation, so that most outlast the time that they may take."""
 CROWDS = frozenset({Kind.HOSTILE_CLIENTS})
 """Kinds that ``intrusions`` carries out too, drawn apart from these likewise."""
+GROWTHS = frozenset({Kind.CONFIGURATION_GROWS, Kind.STORE_LINK_SLOW})
+"""Kinds that ``configurations`` carries out, drawn apart likewise."""
 REPEAT_SHARE = 0.25
 """Share of faults that repeat the kind of the fault before."""
 
@@ -105,7 +109,7 @@
     :param per_s: mean number of faults per second
     """
     rng = random.Random(seed)
-    drawn_apart = HAZARDS | INTRUSIONS | EVACUATIONS | CROWDS
+    drawn_apart = HAZARDS | INTRUSIONS | EVACUATIONS | CROWDS | GROWTHS
     kinds = [kind for kind in Kind if kind not in drawn_apart]
     weights = [WEIGHTS.get(kind, 1.0) for kind in kinds]
     faults: list[Fault] = []
@@ -162,6 +166,15 @@
     return _draw(random.Random(f"crowds {seed}"), CROWDS, seconds, per_s=per_s)
 
 
+def draw_growths(seed: int, seconds: float, *, per_s: float) -> list[Fault]:
+    """Draw the faults of the kinds in ``GROWTHS``, ordered by time.
+
+    :param seconds: length of the fault phase, in seconds
+    :param per_s: mean number of faults per second
+    """
+    return _draw(random.Random(f"growths {seed}"), GROWTHS, seconds, per_s=per_s)
+
+
 def _draw(
     rng: random.Random, group: AbstractSet[Kind], seconds: float, *, per_s: float
 ) -> list[Fault]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,6 +21,7 @@
 INTRUSIONS_PER_S = 0.4
 EVACUATIONS_PER_S = 0.06
 CROWDS_PER_S = 0.15
+GROWTHS_PER_S = 0.25
 JOBS_PER_S = 2.5
 CHECK_INTERVAL_S = 0.25
 RECOVERY_TIMEOUT_S = 12.0
@@ -111,6 +112,7 @@
         faults += plan.draw_intrusions(seed, seconds, per_s=INTRUSIONS_PER_S)
         faults += plan.draw_evacuations(seed, seconds, per_s=EVACUATIONS_PER_S)
         faults += plan.draw_crowds(seed, seconds, per_s=CROWDS_PER_S)
+        faults += plan.draw_growths(seed, seconds, per_s=GROWTHS_PER_S)
         if has_hazards:
             faults += plan.draw_hazards(seed, seconds, per_s=HAZARDS_PER_S)
         for fault in sorted(faults, key=lambda fault: fault.at_s):
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -33,7 +33,9 @@
     assert {fault.kind for fault in evacuations} == plan.EVACUATIONS
     crowds = [fault for seed in range(20) for fault in plan.draw_crowds(seed, 60.0, per_s=1.0)]
     assert {fault.kind for fault in crowds} == plan.CROWDS
-    drawn_apart = plan.HAZARDS | plan.INTRUSIONS | plan.EVACUATIONS | plan.CROWDS
+    growths = [fault for seed in range(20) for fault in plan.draw_growths(seed, 60.0, per_s=1.0)]
+    assert {fault.kind for fault in growths} == plan.GROWTHS
+    drawn_apart = plan.HAZARDS | plan.INTRUSIONS | plan.EVACUATIONS | plan.CROWDS | plan.GROWTHS
     assert {fault.kind for fault in faults} == set(plan.Kind) - drawn_apart
 
 
