One version of the configuration at a time crosses a slow link

Callers on slow links got 503 for seconds during a series of changes, and before the check of its age answers by versions that were replaced long ago. Cause: a watch brings every version since the last; while these arrive more are written, so each answer is larger than the one before. 18 versions of 0.35 MB, 0.2 s apart, on 5 Mbit/s: version 5 is in force 3 s after the last was acknowledged. Change: a watch whose header announces more than one and a half configurations is abandoned, and the latest is read instead. The same read follows lost history, after 0.05 s in place of 0.2 s.

--- a/src/bronzequay/front/config_watcher.py
+++ b/src/bronzequay/front/config_watcher.py
@@ -8,7 +8,7 @@
 import structlog
 import trio
 
-from bronzequay import clock, errors, figures
+from bronzequay import clock, codes, errors, figures
 from bronzequay.net import client
 from bronzequay.platform import config, kv
 
@@ -23,6 +23,14 @@
 MAX_CLOCK_DRIFT = 0.02
 """How much slower than the store's this machine's clock may run."""
 RETRY_DELAY_S = 0.2
+REREAD_DELAY_S = 0.05
+"""Pause before the configuration is read instead of its changes."""
+ENCODED_RATIO = 4 / 3
+"""Size of a value in an answer relative to its own, by base64."""
+MAX_VERSIONS = 1.5
+"""Size of a watch's answer, in configurations, from which the latest version is read instead."""
+SMALL_BYTES = 65_536
+"""Size of an answer that arrives within 0.1 s on the slowest links."""
 LOST_WATCH_S = kv.WATCH_MARGIN_S + RETRY_DELAY_S + 0.25
 """Time from the end of a lost watch's wait to the answer of the read that follows, which a slow
 store gives in 0.25 s."""
@@ -51,6 +59,7 @@
         self._confirmed_s = float("-inf")
         self._transfer = client.Transfer()
         self._transfer_s = 0.0
+        self._size_bytes = 0.0
 
     def register_gauges(self) -> None:
         """Add version and age of the configuration to the metrics."""
@@ -95,6 +104,10 @@
                 while True:
                     rev, wait_s = await self._watch(rev, wait_s)
             except errors.BronzequayError as exc:
+                if exc.code is codes.ResultCode.HISTORY_LOST:
+                    _log.info("configuration_reread", why=str(exc), version=self.version)
+                    await trio.sleep(REREAD_DELAY_S)
+                    continue
                 self._record_failure(exc)
                 # Other answers may occupy a slow link for longer.
                 timeout_s = min(kv.CALL_TIMEOUT_S, 2 * timeout_s)
@@ -112,8 +125,12 @@
         return item.seen_rev
 
     async def _watch(self, rev: ids.Revision, wait_s: float) -> tuple[ids.Revision, float]:
-        """Watch the configuration once; return revision and wait of the next watch."""
-        self._transfer, sent_s = client.Transfer(), clock.boot_s()
+        """Watch the configuration once; return revision and wait of the next watch.
+
+        An answer with several versions takes longer than reading the last of them.
+        """
+        max_bytes = MAX_VERSIONS * self._size_bytes + SMALL_BYTES
+        self._transfer, sent_s = client.Transfer(max_bytes=max_bytes), clock.boot_s()
         changes = await self._store.watch(
             config.KEY, after=rev, wait_s=wait_s, transfer=self._transfer
         )
@@ -155,6 +172,7 @@
             return
         self.current = decoded
         self._transfer_s = self._transfer.receiving_s
+        self._size_bytes = ENCODED_RATIO * len(item.value)
         self.loaded.set()
         figures.observe("configuration_transfer", self._transfer_s)
         _log.info(
--- a/src/bronzequay/net/client.py
+++ b/src/bronzequay/net/client.py
@@ -52,6 +52,10 @@
     """The request may have reached the peer, and no complete response came back."""
 
 
+class TooLargeError(NoResponseError):
+    """The peer has responded with more than the caller wants to read."""
+
+
 class Transfer:
     """Progress of one response whose size, and so its duration, is not limited.
 
@@ -59,12 +63,14 @@
     may go on for as long as it arrives: without a pause, and not at a trickle.
 
     :param max_s: limit on the time from its first bytes to its last
+    :param max_bytes: limit on the size of its body, where its header states one
     :ivar received_bytes: bytes that have arrived
     """
 
-    def __init__(self, *, max_s: float = math.inf) -> None:
+    def __init__(self, *, max_s: float = math.inf, max_bytes: float = math.inf) -> None:
         self.received_bytes = 0
         self._max_s = max_s
+        self._max_bytes = max_bytes
         self._began_s = self._latest_s = math.nan
         self._scope: trio.CancelScope | None = None
 
@@ -72,6 +78,14 @@
         """Extend a scope's deadline with each part of the response that arrives."""
         self._scope = scope
 
+    def expect(self, size: int) -> None:
+        """Check the size of the body that the header states.
+
+        :raises TooLargeError: when it is over the limit
+        """
+        if size > self._max_bytes:
+            raise TooLargeError(f"the response has {size} bytes, over {self._max_bytes:g}")
+
     def record(self, size: int) -> None:
         """Record that bytes have arrived."""
         self._latest_s = trio.current_time()
@@ -139,6 +153,12 @@
         if self._framing_bytes > MAX_FRAMING_BYTES and not self.is_complete:
             raise NoResponseError(f"the response has {MAX_FRAMING_BYTES} bytes without a body")
 
+    @property
+    def expected_bytes(self) -> int:
+        """Return the size of the body that the header states so far, 0 when it states none."""
+        text = self.headers.get("content-length", "")
+        return int(text) if text.isascii() and text.isdigit() else 0
+
     def on_header(self, name: bytes, value: bytes) -> None:
         self._lines += 1
         if self._lines > MAX_HEADER_LINES:
@@ -184,6 +204,7 @@
                     )
                 transfer.record(len(data))
                 reader.feed(data)
+                transfer.expect(reader.expected_bytes)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise NoResponseError("the connection broke before the response was complete") from exc
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
@@ -309,4 +330,12 @@
     return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
 
 
-__all__ = ["Client", "Connection", "NoResponseError", "NotSentError", "Response", "Transfer"]
+__all__ = [
+    "Client",
+    "Connection",
+    "NoResponseError",
+    "NotSentError",
+    "Response",
+    "TooLargeError",
+    "Transfer",
+]
--- a/src/bronzequay/platform/kv.py
+++ b/src/bronzequay/platform/kv.py
@@ -212,8 +212,9 @@
         :param margin_s: further seconds allowed for the answer to begin
         :param answer_s: limit on the time from its first bytes to its last
         :param transfer: records its progress
-        :raises errors.BronzequayError: HISTORY_LOST when the store has compacted these changes,
-            STORE_TIMEOUT also when the store answers other calls again after an outage
+        :raises errors.BronzequayError: HISTORY_LOST when the store has compacted these changes, or
+            they are larger than ``transfer`` permits; STORE_TIMEOUT also when the store answers
+            other calls again after an outage
         """
         query = {"prefix": prefix, "after": after, "waitMs": round(wait_s * 1000)}
         path = f"/kv-watch?{urllib.parse.urlencode(query)}"
@@ -324,6 +325,12 @@
             raise errors.BronzequayError(
                 codes.ResultCode.STORE_UNAVAILABLE, f"{exc}: {subject}"
             ) from exc
+        except client.TooLargeError as exc:
+            figures.count(f'store_calls{{call="{call}",outcome="too_large"}}')
+            self._contact.record_answer(call, 0.0)
+            raise errors.BronzequayError(
+                codes.ResultCode.HISTORY_LOST, f"{exc}: {subject}"
+            ) from exc
         except client.NoResponseError as exc:
             figures.count(f'store_calls{{call="{call}",outcome="no_answer"}}')
             self._contact.record_failure(call, str(exc))
--- a/tests/control/network.py
+++ b/tests/control/network.py
@@ -84,7 +84,9 @@
             if link in self.cut:
                 await trio.sleep_forever()
             await trio.sleep(DELAY_S)
-            await self._transmit(link, len(answer.body), transfer or client.Transfer())
+            progress = transfer or client.Transfer()
+            progress.expect(len(answer.body))
+            await self._transmit(link, len(answer.body), progress)
             return client.Response(answer.status, dict(answer.headers), answer.body)
         raise client.NoResponseError("no answer")
 
--- a/tests/front/test_configuration.py
+++ b/tests/front/test_configuration.py
@@ -166,3 +166,17 @@
     site.network.cut.clear()
     await trio.sleep(5.0)
     assert (await send("GET", f"/q1/{JOB}")).status == 410
+
+
+async def test_configurations_in_quick_succession_are_in_force_in_time_on_a_slow_link(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against watches that bring every version, and more the longer the last one took."""
+    send = await site.start_front("f")
+    site.network.bytes_per_s["f", STORE] = SLOW_LINK
+    for version in range(2, 20):
+        site.configure(with_routes(version, 2000 if version < 19 else 1999))
+        await trio.sleep(0.2)
+    await trio.sleep(CONFIG_S - 0.2)
+    gone = with_routes(18, 2000)["routes"][-2]["prefix"]
+    assert (await send("GET", f"{gone}{JOB}")).status == 404
