No task starts by cancellations that were read too long ago

The cause of the stale configurations, looked for elsewhere: where the watch of the callers' cancellations brought nothing, tasks of a job started after cancel_ms. Change: the cancellations have an age too, counted to when the core has applied them; starts wait while it is over cancel_ms less the time of an order.

--- a/src/bronzequay/control/intake.py
+++ b/src/bronzequay/control/intake.py
@@ -9,8 +9,8 @@
 import structlog
 import trio
 
-from bronzequay import codec
-from bronzequay.control import failures, keys, prefix
+from bronzequay import clock, codec
+from bronzequay.control import failures, freshness, keys, prefix
 from bronzequay.core import lifecycle, model, records
 from bronzequay.platform import kv
 
@@ -35,12 +35,15 @@
     """Follows the keys of submitted jobs and cancellations.
 
     :param term: the term that schedules the jobs
+    :param cancel_s: time after the cancellation of a job from which none of its tasks starts
+    :ivar cancels: how old the cancellations are that the core knows
     :ivar orphaned_cancels: cancellations of jobs that are not open, to be removed from the store
     """
 
-    def __init__(self, store: Store, term: Term) -> None:
+    def __init__(self, store: Store, term: Term, *, cancel_s: float) -> None:
         self._store = store
         self._term = term
+        self.cancels = freshness.Freshness("cancellations", cancel_s)
         self._rev = kv.ABSENT
         self.orphaned_cancels: set[ids.JobId] = set()
 
@@ -49,6 +52,7 @@
 
         :raises errors.BronzequayError: the store cannot be read
         """
+        sent_s = clock.boot_s()
         snapshots: dict[str, Snapshot] = {}
         given_up: set[ids.JobId] = set()
 
@@ -82,6 +86,7 @@
         state.considered_job = None
         self._cancel(state, inbox.items)
         self._rev = inbox.rev
+        self.cancels.confirm(sent_s)
 
     async def run(self) -> None:
         """Follow the keys until cancelled."""
@@ -91,9 +96,14 @@
             self._rev,
             on_change=self._post,
             on_snapshot=self._post,
-            wait_s=WATCH_S,
+            wait_s=self.cancels.watch_s(WATCH_S),
+            on_answer=self._confirm,
         )
 
+    def _confirm(self, read_s: float) -> None:
+        """Confirm the cancellations once the core has applied those that were read."""
+        self._term.post(lambda _state: self.cancels.confirm(read_s))
+
     def _post(self, items: tuple[Item, ...]) -> None:
         self._term.post(functools.partial(self._apply, items=items))
 
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -39,6 +39,8 @@
 """Time between two checks for due occurrences; an occurrence starts at most this late."""
 DEFAULT_EVAC_S = 5.0
 """The platform's default of ``evacMs``."""
+DEFAULT_CANCEL_S = 3.0
+"""The platform's default of ``cancel_ms``."""
 DEFAULT_DRAIN_S = 2.0
 """The platform's default of ``drainMs``."""
 TRUST_POLL_S = 0.1
@@ -61,6 +63,7 @@
     :param rules: returns the rules in force
     :param max_run_lease_s: longest lease that a worker accepts for its runs
     :param beat_s: time between two writes of a worker's entry
+    :param cancel_s: time after a job's cancellation from which none of its tasks starts
     :param drain_s: time after the announcement of a drain from which a worker gets no starts
     :param evac_s: time within which an evacuation of a data centre must take effect
     :param remote_factor: slow-down of a task off its data's rack, or of a gang spread over racks
@@ -79,6 +82,7 @@
         *,
         max_run_lease_s: float,
         beat_s: float,
+        cancel_s: float = DEFAULT_CANCEL_S,
         drain_s: float = DEFAULT_DRAIN_S,
         evac_s: float = DEFAULT_EVAC_S,
         remote_factor: float = 3.0,
@@ -103,7 +107,7 @@
         self._rules = rules
         self._advisor = advisor.Advisor(advice_address, self)
         self._upkeep = upkeep.Upkeep(store, self, machine_client, holdoff_s=holdoff_s)
-        self._intake = intake.Intake(store, self)
+        self._intake = intake.Intake(store, self, cancel_s=cancel_s)
         self._learned = learned.Learned(store, self)
         self._journal = journal.Journal(store, leader_lease.epoch)
         max_entry_age_s = MAX_MISSED_BEATS * beat_s + ENTRY_DELAY_S
@@ -133,12 +137,12 @@
             await trio.sleep(TRUST_POLL_S)
 
     async def wait_until_startable(self, worker_id: ids.WorkerId) -> None:
-        """Wait until starts may be sent to a worker, by entries that are not too old."""
+        """Wait until starts may be sent to a worker, by copies that are not too old."""
         while True:
             await self.wait_until_trusted()
             worker = self._state.workers.get(worker_id)
             is_known = worker is None or self._state.is_capacity_known(worker, trio.current_time())
-            if is_known and self.roster.entries.check():
+            if is_known and self.roster.entries.check() and self._intake.cancels.check():
                 return
             await trio.sleep(TRUST_POLL_S)
 
--- a/src/bronzequay/node.py
+++ b/src/bronzequay/node.py
@@ -188,6 +188,7 @@
                     self._rules,
                     max_run_lease_s=self._cfg.max_hold_s,
                     beat_s=self._cfg.heartbeat_s,
+                    cancel_s=self._cfg.cancel_s,
                     drain_s=self._cfg.drain_s,
                     evac_s=self._cfg.evac_s,
                     remote_factor=self._cfg.remote_factor,
--- a/src/bronzequay/platform/settings.py
+++ b/src/bronzequay/platform/settings.py
@@ -44,6 +44,7 @@
     :param kill_grace_s: longest time that stopping a task takes
     :param gang_timeout_s: longest time that a gang's member waits for the others to start
     :param reclaim_s: time within which guaranteed work is to start
+    :param cancel_s: time after the cancellation of a job from which none of its tasks starts
     :param drain_s: time after which a draining executor is to be sent no more start orders
     :param grace_s: time between SIGTERM and SIGKILL
     :param early_s: how long before its due time an occurrence may start
@@ -80,6 +81,7 @@
     kill_grace_s: float
     gang_timeout_s: float
     reclaim_s: float
+    cancel_s: float
     drain_s: float
     grace_s: float
     early_s: float
@@ -146,6 +148,7 @@
         kill_grace_s=get("bounds.killGraceMs", _ms, "900"),
         gang_timeout_s=get("bounds.gangTimeoutMs", _ms, "3000"),
         reclaim_s=get("bounds.reclaimMs", _ms, "3400"),
+        cancel_s=get("bounds.cancel_ms", _ms, "3000"),
         drain_s=get("bounds.drainMs", _ms, "2000"),
         grace_s=get("bounds.graceS", float, "6"),
         early_s=get("bounds.early_ms", _ms, "250"),
