--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -184,18 +184,20 @@
 
     def _is_withheld(self, command: model.Start) -> bool:
         """Return whether a start may not be sent now; log and count it then."""
-        if self._term.evacuations.withhold(command, self._data_centre):
-            return True
-        if self._term.roster.may_start(self._worker):
+        why = self._term.evacuations.reason_to_withhold(self._data_centre)
+        if why is None and not self._term.roster.may_start(self._worker):
+            why = "leaving"
+        if why is None:
             return False
-        figures.count('starts_withheld{why="leaving"}')
+        figures.count(f'starts_withheld{{why="{why}"}}')
         _log.info(
             "start_withheld",
             job=command.key.job,
             task=command.key[1:],
             run=command.run,
             worker=self._worker,
-            why="leaving",
+            data_centre=self._data_centre,
+            why=why,
         )
         return True
 
--- a/src/bronzequay/control/evacuations.py
+++ b/src/bronzequay/control/evacuations.py
@@ -1,4 +1,4 @@
-"""Follows the operator's evacuations of data centres and withholds starts there."""
+"""Follows the operator's evacuations of data centres, where no task may start."""
 
 from __future__ import annotations
 
@@ -15,7 +15,6 @@
     from collections.abc import Callable
 
     from bronzequay import ids
-    from bronzequay.core import model
     from bronzequay.core.state import State
     from bronzequay.platform.kv import Item, Store
 
@@ -24,6 +23,7 @@
 REREAD_S = 1.0
 """Age of the last read of all keys from which the next call is another one, which also finds what
 an answered watch has left out. Between watches of 1.5 s this is one small read each 1.5 s."""
+
 _log = structlog.get_logger()
 
 
@@ -78,23 +78,6 @@
         is_affected = bool(evacuated) if data_centre is None else data_centre in evacuated
         return "evacuated" if is_affected else None
 
-    def withhold(self, command: model.Start, data_centre: ids.DataCentreId) -> bool:
-        """Return whether a start may not be sent now; log and count it then."""
-        why = self.reason_to_withhold(data_centre)
-        if why is None:
-            return False
-        figures.count(f'starts_withheld{{why="{why}"}}')
-        _log.info(
-            "start_withheld",
-            job=command.key.job,
-            task=command.key[1:],
-            run=command.run,
-            worker=command.worker,
-            data_centre=data_centre,
-            why=why,
-        )
-        return True
-
     async def run(self) -> None:
         """Follow the keys until cancelled."""
         figures.gauge("evacuated_data_centres", lambda: len(self._evacuated or ()))
