Log what the scheduler takes a worker's run lease to be

The state of a lease moves from the session into control/run_lease.py. worker_reached is new; worker_regained, worker_lapsed and worker_life_over state the worker's clock, the believed end of its lease and the call that this rests on. No change of logic.

--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -9,6 +9,7 @@
 import trio
 
 from bronzequay import errors, figures
+from bronzequay.control import run_lease
 from bronzequay.core import advice, lifecycle, model, pacing
 from bronzequay.platform import executor_entries, workers
 
@@ -27,12 +28,8 @@
 """Time until a listing has shown a run that has begun; a worker answers within 1 s."""
 REFUSAL_PAUSE_S = 1.0
 """Time for which a worker gets no starts after it refused one."""
-MIN_CLOCK_RATE = 0.98
-"""Lowest rate of a worker's clock relative to this instance's."""
 CLOCK_TOLERANCE_MS = 500.0
 """Difference between clock readings that delayed answers can explain."""
-MAX_ORDER_DELAY_S = 15.0
-"""Time after which an unanswered order can no longer take effect; delays of up to 12 s occur."""
 
 _log = structlog.get_logger()
 _UNANSWERED = frozenset(
@@ -83,7 +80,7 @@
         return tuple(
             start
             for sent_s, start in self._unanswered.values()
-            if now_s - sent_s < MAX_ORDER_DELAY_S
+            if now_s - sent_s < run_lease.MAX_ORDER_DELAY_S
         )
 
     def retain_answers(self, runs: set[tuple[model.TaskKey, int]]) -> None:
@@ -224,7 +221,7 @@
         """Return whether a later incarnation under the same id answered; its clock restarted."""
         if reply.clock_ms is None:
             return False
-        return reply.clock_ms < self._clock_ms() * MIN_CLOCK_RATE - CLOCK_TOLERANCE_MS
+        return reply.clock_ms < self._clock_ms() * run_lease.MIN_CLOCK_RATE - CLOCK_TOLERANCE_MS
 
     async def _pace(self, command: model.Pace) -> None:
         """Send a pace order once; if it is not confirmed, the next listing leads to another."""
@@ -286,4 +283,4 @@
     lifecycle.end_run(state, command.worker, command.key, command.run, model.End.NEVER_RAN)
 
 
-__all__ = ["MAX_ORDER_DELAY_S", "MIN_CLOCK_RATE", "Delivery", "end_as_lost"]
+__all__ = ["Delivery", "end_as_lost"]
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -10,7 +10,7 @@
 import trio
 
 from bronzequay import clock, figures
-from bronzequay.control import delivery, freshness, prefix, session
+from bronzequay.control import delivery, freshness, prefix, run_lease, session
 from bronzequay.core import lifecycle, losses, model, resize, rollout
 from bronzequay.platform import executor_entries, workers
 
@@ -278,11 +278,11 @@
         self, executor: ids.ExecutorId, starts: tuple[model.Start, ...]
     ) -> None:
         """End runs that no later incarnation has barred, once their starts can no longer arrive."""
-        await trio.sleep(delivery.MAX_ORDER_DELAY_S)
+        await trio.sleep(run_lease.MAX_ORDER_DELAY_S)
         if executor in self._sessions:
             # A start may have reached a later incarnation that could not be reached to bar it;
             # the run's lease there expires within this time.
-            await trio.sleep(self._term.max_run_lease_s / delivery.MIN_CLOCK_RATE)
+            await trio.sleep(self._term.max_run_lease_s / run_lease.MIN_CLOCK_RATE)
         for start in starts:
             self._term.post(functools.partial(delivery.end_as_lost, start=start))
 
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -9,7 +9,7 @@
 import trio
 
 from bronzequay import clock, errors, figures
-from bronzequay.control import delivery
+from bronzequay.control import delivery, run_lease
 from bronzequay.core import departures, health, lifecycle, losses, model, pacing
 from bronzequay.platform import executor_entries, workers
 
@@ -17,9 +17,6 @@
     from bronzequay.control.term import Term
     from bronzequay.core.state import State, Worker
 
-RUN_LEASE_S = 5.0
-"""Lease of running tasks. It is longer than a takeover, about 3 s; lost work restarts only after it
-has expired."""
 CONTACT_S = 3.0
 """Time after its last answer for which a worker counts as in contact."""
 LISTING_WAIT_S = 1.0
@@ -31,7 +28,7 @@
 RETRY_S = 0.2
 DURABLE_WAIT_S = 0.5
 """Longest wait for the journal before the next call, which then acknowledges no ended runs."""
-EARLIER_LEASE_EXPIRY_S = CONTACT_S + RUN_LEASE_S / delivery.MIN_CLOCK_RATE + 0.5
+EARLIER_LEASE_EXPIRY_S = CONTACT_S + run_lease.RUN_LEASE_S / run_lease.MIN_CLOCK_RATE + 0.5
 """Time from this term's first contact with more than half of the workers until all run leases that
 earlier terms renewed have expired."""
 MAX_LISTED_ENDS = 500
@@ -90,8 +87,9 @@
         self.machine = entry.spec.machine
         self.service = entry.spec.service
         self.is_listed = True
+        self._lease = run_lease.RunLease()
         self.delivery = delivery.Delivery(
-            entry, term, deadline_ms=self._start_deadline_ms, clock_ms=self._worker_clock_ms
+            entry, term, deadline_ms=self._start_deadline_ms, clock_ms=self._lease.clock_ms
         )
         self._barred = barred
         self._bar_acked_s: dict[model.Start, float] = {}
@@ -99,9 +97,7 @@
         self._term = term
         self._scope = trio.CancelScope()
         self._acked_end = 0
-        self._clock_ms: float | None = None
-        self._clock_read_s = 0.0
-        self._deadline_ms = 0.0
+        self._was_renewed = False
         self._has_listing = False
         self._is_lost = False
         self._is_unanswered = False
@@ -118,9 +114,9 @@
     @property
     def stated_s(self) -> float:
         """Return when the worker wrote its entry, infinity while that cannot be told."""
-        if self._clock_ms is None or self.entry.clock_ms is None:
+        if not self._lease.is_clock_known or self.entry.clock_ms is None:
             return float("inf")
-        return trio.current_time() - (self._worker_clock_ms() - self.entry.clock_ms) / 1000
+        return trio.current_time() - (self._lease.clock_ms() - self.entry.clock_ms) / 1000
 
     def accepts(self, entry: executor_entries.ExecutorEntry) -> bool:
         """Return whether an entry can be of this incarnation: it keeps its place and service."""
@@ -187,7 +183,14 @@
         if reply.outcome is workers.Outcome.STALE_EPOCH:
             await self._term.end_if_fenced(self.worker)
         elif reply.listing is not None:
-            _log.info("worker_life_over", worker=self.worker, started_ms=reply.listing.started_ms)
+            _log.info(
+                "worker_life_over",
+                worker=self.worker,
+                started_ms=reply.listing.started_ms,
+                next_clock_s=reply.listing.clock_ms / 1000,
+                was_renewed=self._was_renewed,
+                **self._lease.describe(),
+            )
             self._term.roster.end_session(self, Ending.RESTARTED)
             return True
         is_over = self._on_no_answer()
@@ -208,7 +211,8 @@
             async with self._term.roster.first_listings:
                 return await self._read_listing()
         # A worker out of contact gets no renewal, so that its leases can expire.
-        deadline_ms = self._lease_end_ms() if self.is_in_contact else None
+        deadline_ms = self._lease.end_if_granted_now_ms() if self.is_in_contact else None
+        self._was_renewed = deadline_ms is not None
         reply: workers.Reply | None = None
         try:
             reply = await client.hold(
@@ -220,7 +224,7 @@
         finally:
             may_be_renewed = reply is None or reply.outcome not in _NOT_RENEWED
             if deadline_ms is not None and may_be_renewed:
-                self._deadline_ms = max(self._deadline_ms, deadline_ms)
+                self._lease.extend(deadline_ms, run_lease.Basis.RENEWAL)
         return reply
 
     async def _read_listing(self) -> workers.Reply:
@@ -233,27 +237,17 @@
             return 0.0
         return SHARED_LISTING_WAIT_S if self._has_fillers_beside_serving else LISTING_WAIT_S
 
-    def _worker_clock_ms(self) -> float:
-        """Return the present time on the worker's clock if it runs at the rate of ours."""
-        assert self._clock_ms is not None  # noqa: S101  # set by the first listing
-        return self._clock_ms + (clock.boot_s() - self._clock_read_s) * 1000
-
-    def _lease_end_ms(self) -> float:
-        """Return the end of a lease that begins now, on the worker's clock."""
-        return self._worker_clock_ms() + RUN_LEASE_S * 1000
-
     def _start_deadline_ms(self) -> float:
         """Return the end of the lease for a start that is about to be sent."""
-        end_ms = self._lease_end_ms()
-        self._deadline_ms = max(self._deadline_ms, end_ms)
+        end_ms = self._lease.end_if_granted_now_ms()
+        self._lease.extend(end_ms, run_lease.Basis.START)
         return end_ms
 
     def _are_leases_expired(self) -> bool:
         """Return whether the worker's run leases have certainly expired."""
-        if self._clock_ms is None:
+        if not self._lease.is_clock_known:
             return self._term.are_earlier_leases_expired(self.service)
-        passed_s = (clock.boot_s() - self._clock_read_s) * delivery.MIN_CLOCK_RATE
-        return self._clock_ms + passed_s * 1000 > self._deadline_ms
+        return self._lease.has_expired()
 
     def _on_no_answer(self) -> bool:
         """End the runs of an unresponsive worker once its leases have expired.
@@ -265,7 +259,13 @@
         self._term.post(lambda state: self._mark_silent(state, failed_s))
         if self._is_lost or not self._are_leases_expired():
             return self._is_lost and not self.is_listed and self._end()
-        _log.warning("worker_lapsed", worker=self.worker, is_listed=self.is_listed)
+        _log.warning(
+            "worker_lapsed",
+            worker=self.worker,
+            is_listed=self.is_listed,
+            silent_s=round(trio.current_time() - self._answered_s, 3),
+            **self._lease.describe(),
+        )
         self._has_listing, self._is_lost = False, True
         self.delivery.discard_answers()
         self._term.post(self._end_lapsed_runs)
@@ -289,17 +289,15 @@
         return True
 
     async def _on_listing(self, listing: workers.Listing, sent_s: float) -> None:
-        if self._is_lost:
-            _log.info("worker_regained", worker=self.worker)
-        self._clock_ms = listing.clock_ms
-        self._clock_read_s = clock.boot_s()
+        self._lease.read_clock(listing.clock_ms)
         self._answered_s = trio.current_time()
         is_first = not self._has_listing
         if is_first:
             self._term.roster.on_first_listing(self)
-        self._deadline_ms = max(
-            self._deadline_ms, listing.clock_ms + self._foreign_lease_s(is_first=is_first) * 1000
-        )
+        self._count_foreign_lease(listing, is_first=is_first)
+        if is_first:
+            event = "worker_regained" if self._is_lost else "worker_reached"
+            _log.info(event, worker=self.worker, **self._lease.describe())
         self._has_listing, self._is_lost, self._is_unanswered = True, False, False
         durable = self._post(listing, sent_s, is_first=is_first)
         if listing.ended or is_first:
@@ -308,15 +306,18 @@
             if not scope.cancelled_caught and listing.ended:
                 self._acked_end = max(end.number for end in listing.ended)
 
-    def _foreign_lease_s(self, *, is_first: bool) -> float:
-        """Return for how long a lease may hold that this session has not granted.
+    def _count_foreign_lease(self, listing: workers.Listing, *, is_first: bool) -> None:
+        """Count the leases that may hold now and that this session has not granted.
 
         A renewal sent to an earlier incarnation may still arrive, and the clock of that one was
         ahead. An earlier term may have renewed the lease just before this term's first call.
         """
-        if clock.boot_s() - self._replaced_s < delivery.MAX_ORDER_DELAY_S:
-            return self._term.max_run_lease_s
-        return RUN_LEASE_S / delivery.MIN_CLOCK_RATE if is_first else 0.0
+        if clock.boot_s() - self._replaced_s < run_lease.MAX_ORDER_DELAY_S:
+            end_ms = listing.clock_ms + self._term.max_run_lease_s * 1000
+            self._lease.extend(end_ms, run_lease.Basis.EARLIER_LIFE)
+        elif is_first:
+            lease_s = run_lease.RUN_LEASE_S / run_lease.MIN_CLOCK_RATE
+            self._lease.extend(listing.clock_ms + lease_s * 1000, run_lease.Basis.EARLIER_TERM)
 
     def _post(self, listing: workers.Listing, sent_s: float, *, is_first: bool) -> trio.Event:
         """Have the newest listing applied; it contains all that a pending older one reports."""
@@ -395,4 +396,4 @@
             task.checkpoint = run.checkpoint or task.checkpoint
 
 
-__all__ = ["CONTACT_S", "EARLIER_LEASE_EXPIRY_S", "RUN_LEASE_S", "Session"]
+__all__ = ["CONTACT_S", "EARLIER_LEASE_EXPIRY_S", "Session"]
--- a/tests/control/test_evacuations.py
+++ b/tests/control/test_evacuations.py
@@ -15,7 +15,7 @@
 import trio
 
 from bronzequay import figures
-from bronzequay.control import session
+from bronzequay.control import run_lease
 from bronzequay.core import model
 from bronzequay.fakes import kv, tasks
 from soak import evacuations
@@ -116,7 +116,7 @@
     await site.wait_until(lambda: site.leader() == "b")
     waiting = site.submit(model.Step(count=6, need=EIGHT_GPUS))
     took_over_s = trio.current_time()
-    await trio.sleep(2 * session.RUN_LEASE_S)
+    await trio.sleep(2 * run_lease.RUN_LEASE_S)
     assert (starts(site, took_over_s), site.events("lapsed")) == ([], [])
     assert "have been read" in str(site.terms["b"].explain(waiting))
     end_fault()
--- a/tests/control/test_term.py
+++ b/tests/control/test_term.py
@@ -9,7 +9,7 @@
 import pytest
 import trio
 
-from bronzequay.control import keys, lease, session
+from bronzequay.control import keys, lease, run_lease, session
 from bronzequay.core import model
 from bronzequay.fakes import kv, tasks
 from tests.control.site import ONE_GPU, gang
@@ -241,7 +241,7 @@
     await trio.sleep(1.0)
     site.crash(first)
     took_s = await site.wait_for(job, "completed", timeout_s=30.0)
-    assert took_s < session.RUN_LEASE_S + 5.0
+    assert took_s < run_lease.RUN_LEASE_S + 5.0
     assert second.barred_runs
     site.check_runs()
 
