Fence each incarnation of a worker against calls to the earlier ones

Callers could see a task run twice although one scheduler had seen the whole restart: a renewal sent to the earlier incarnation, or an acknowledgement of its ends, was carried out by the next one up to 15 s later. The first extended the lease after the last listing that the scheduler had counted it from, the second made the worker forget an end that nobody had read, so that its task was started again.

Cause: orders were fenced by the term's epoch alone, so that the next incarnation took calls of the same term that were meant for the earlier one. Expect-Instance holds the executor's id, which both share.

Change: the orders of a session carry the larger of the epoch and the revision of the entry that opened the session. The entry of a later incarnation has a later revision, so that the first call to it fences all calls to the earlier ones; any later term's epoch is a later revision still, as a session opens only while the leader lease is trusted. What calls have done before shows in the first listing, or is bounded by it: the lease by the worker's limit, or by the latest deadline that was sent to the earlier incarnations. Unanswered starts need no bars any more: a run that the first listing does not show can never begin, and one that has ended there counts.

--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from bronzequay import ids
     from bronzequay.control.term import Term
     from bronzequay.core.state import State
 
@@ -45,6 +46,7 @@
     :param deadline_ms: returns the end of the run's lease for a start that is sent now, on the
         worker's clock
     :param clock_ms: returns the present time on the clock of this incarnation
+    :param fence: epoch that the orders carry
     :ivar client: client of the executor
     """
 
@@ -55,8 +57,9 @@
         *,
         deadline_ms: Callable[[], float],
         clock_ms: Callable[[], float],
+        fence: ids.Epoch,
     ) -> None:
-        self.client = workers.OrderClient(entry.executor, entry.address, term.epoch)
+        self.client = workers.OrderClient(entry.executor, entry.address, fence)
         self._worker = entry.spec.worker
         self._data_centre = entry.spec.data_centre
         self._term = term
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -9,7 +9,7 @@
 import structlog
 import trio
 
-from bronzequay import clock, figures
+from bronzequay import figures
 from bronzequay.control import delivery, freshness, prefix, run_lease, session
 from bronzequay.core import lifecycle, losses, model, resize, rollout, settling
 from bronzequay.platform import executor_entries, workers
@@ -55,8 +55,7 @@
         self.entries = freshness.Freshness("worker_entries", drain_s)
         self._sessions: dict[ids.ExecutorId, session.Session] = {}
         self.first_listings = trio.CapacityLimiter(MAX_FIRST_LISTINGS)
-        self._unanswered_starts: dict[ids.ExecutorId, tuple[model.Start, ...]] = {}
-        self._replaced_s: dict[ids.ExecutorId, float] = {}
+        self._replaced: dict[ids.ExecutorId, session.Replaced] = {}
         self._successors: dict[ids.ExecutorId, executor_entries.ExecutorEntry] = {}
         self._by_machine: dict[ids.MachineId, set[session.Session]] = {}
 
@@ -138,7 +137,9 @@
 
     def _on_item(self, item: Item) -> None:
         executor = executor_entries.executor_from_key(item.key)
-        entry = None if item.value is None else executor_entries.decode(item.key, item.value)
+        entry = (
+            None if item.value is None else executor_entries.decode(item.key, item.value, item.rev)
+        )
         if entry is not None:
             self._on_entry(entry)
             return
@@ -167,12 +168,11 @@
         self._term.post(lambda state: _update_worker(state, entry, stated_s))
 
     def _open_session(self, entry: executor_entries.ExecutorEntry) -> None:
-        barred = self._unanswered_starts.pop(entry.executor, ())
-        replaced_s = self._replaced_s.pop(entry.executor, float("-inf"))
-        opened = session.Session(entry, self._term, barred, replaced_s)
+        replaced = self._replaced.pop(entry.executor, session.Replaced())
+        opened = session.Session(entry, self._term, replaced)
         self._sessions[entry.executor] = opened
         self._by_machine.setdefault(opened.machine, set()).add(opened)
-        _log.info("worker_joined", worker=opened.worker, barred=len(barred))
+        _log.info("worker_joined", worker=opened.worker, unanswered=len(replaced.starts))
         if entry.invalid_fields:
             figures.count("entries_with_invalid_fields")
             _log.warning("entry_invalid", worker=opened.worker, fields=entry.invalid_fields)
@@ -250,26 +250,25 @@
         """End a session whose worker incarnation is over, and the runs of that incarnation.
 
         A start that went unanswered may still reach a later incarnation under the same id, so its
-        run is ended only once that incarnation has barred it. An executor with another id refuses
-        the start.
+        run is ended only once that incarnation has answered the next session. An executor with
+        another id refuses the start.
         """
         executor = ended.entry.executor
         if self._sessions.get(executor) is not ended:
             return
         del self._sessions[executor]
         self._by_machine[ended.machine].discard(ended)
-        unanswered = ended.close()
+        replaced = ended.close()
         if ending is session.Ending.MACHINE_REUSED:
-            unanswered = ()
-        self._unanswered_starts[executor] = unanswered
-        self._replaced_s[executor] = clock.boot_s()
-        barred = {(start.key, start.run) for start in unanswered}
+            replaced = replaced._replace(starts=())
+        self._replaced[executor] = replaced
+        unanswered = {(start.key, start.run) for start in replaced.starts}
         loss = losses.Loss.LAPSED
         if ending is not session.Ending.LAPSED:
             loss = losses.Loss.LEFT if ended.entry.is_draining else losses.Loss.CRASHED
-        self._term.post(lambda state: _remove_worker(state, ended.worker, barred, loss))
+        self._term.post(lambda state: _remove_worker(state, ended.worker, unanswered, loss))
         if unanswered:
-            self._nursery.start_soon(self._end_unanswered, executor, unanswered)
+            self._nursery.start_soon(self._end_unanswered, executor, replaced.starts)
         successor = self._successors.pop(executor, None)
         if successor is not None:
             self._open_session(successor)
@@ -277,11 +276,11 @@
     async def _end_unanswered(
         self, executor: ids.ExecutorId, starts: tuple[model.Start, ...]
     ) -> None:
-        """End runs that no later incarnation has barred, once their starts can no longer arrive."""
+        """End runs that no later incarnation has answered for, once none can run any more."""
         await trio.sleep(run_lease.MAX_ORDER_DELAY_S)
         if executor in self._sessions:
-            # A start may have reached a later incarnation that could not be reached to bar it;
-            # the run's lease there expires within this time.
+            # A start may have reached a later incarnation that could not be reached; the run's
+            # lease there expires within this time.
             await trio.sleep(self._term.max_run_lease_s / run_lease.MIN_CLOCK_RATE)
         for start in starts:
             self._term.post(functools.partial(delivery.end_as_lost, start=start))
@@ -300,14 +299,14 @@
 def _remove_worker(
     state: State,
     worker_id: ids.WorkerId,
-    barred: set[tuple[model.TaskKey, int]],
+    unanswered: set[tuple[model.TaskKey, int]],
     loss: losses.Loss,
 ) -> None:
     worker = state.workers.get(worker_id)
     # The session has recorded the loss of a worker whose leases lapsed.
     if worker is not None and loss is not losses.Loss.LAPSED:
         losses.record(state, worker, loss)
-    lifecycle.remove_worker(state, worker_id, barred)
+    lifecycle.remove_worker(state, worker_id, unanswered)
 
 
 def _update_worker(state: State, entry: executor_entries.ExecutorEntry, stated_s: float) -> None:
--- a/src/bronzequay/control/run_lease.py
+++ b/src/bronzequay/control/run_lease.py
@@ -27,15 +27,6 @@
 earlier terms granted there have expired, unless a call reached a later incarnation."""
 
 
-def settling_s(max_lease_s: float) -> float:
-    """Return the time after a late call until the lease by it ends before one granted now.
-
-    :param max_lease_s: longest lease that a worker grants, which is what a deadline by the clock of
-        an earlier incarnation amounts to
-    """
-    return MAX_ORDER_DELAY_S + (max_lease_s - RUN_LEASE_S) / MIN_CLOCK_RATE
-
-
 class Basis(enum.Enum):
     """The call that the believed end of a lease rests on.
 
@@ -54,12 +45,20 @@
     """Latest end of the run lease that one incarnation of a worker may hold, on its own clock.
 
     The worker kills all its runs when its lease ends. Which lease it holds cannot be queried.
+
+    :param max_lease_s: longest lease that the worker grants
+    :param latest_deadline_ms: latest deadline that this term has sent to earlier incarnations, each
+        on its own clock
+    :ivar latest_deadline_ms: the same with those sent to this one
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_lease_s: float, latest_deadline_ms: float = 0.0) -> None:
+        self._max_lease_s = max_lease_s
+        self.latest_deadline_ms = latest_deadline_ms
         self._clock_ms: float | None = None
         self._read_s = 0.0
         self._end_ms = 0.0
+        self._foreign_end_ms = 0.0
         self._basis = Basis.NONE
 
     @property
@@ -81,6 +80,10 @@
         """Return the end of a lease that begins now, on the worker's clock."""
         return self.clock_ms() + RUN_LEASE_S * 1000
 
+    def on_send(self, deadline_ms: float) -> None:
+        """Note a deadline that is about to be sent, in case the session ends during the call."""
+        self.latest_deadline_ms = max(self.latest_deadline_ms, deadline_ms)
+
     def extend(self, end_ms: float, basis: Basis) -> None:
         """Count a lease that the worker may have granted.
 
@@ -89,6 +92,30 @@
         if end_ms > self._end_ms:
             self._end_ms, self._basis = end_ms, basis
 
+    def count_earlier_calls(self, *, is_settled: bool) -> None:
+        """Count what other calls have granted, after the first answer to this session.
+
+        That answer fences them. A call to an earlier incarnation that this one has carried out has
+        extended the lease to a deadline by the clock of that one, up to the worker's own limit.
+
+        :param is_settled: whether no such call of an earlier term can have extended the lease
+        """
+        assert self._clock_ms is not None  # noqa: S101  # set by the first listing
+        longest_end_ms = self._clock_ms + self._max_lease_s * 1000
+        self._count_foreign(
+            min(self.latest_deadline_ms, longest_end_ms) if is_settled else longest_end_ms
+        )
+        self.extend(self._clock_ms + RUN_LEASE_S / MIN_CLOCK_RATE * 1000, Basis.EARLIER_TERM)
+
+    def _count_foreign(self, end_ms: float) -> None:
+        self._foreign_end_ms = max(self._foreign_end_ms, end_ms)
+        self.extend(end_ms, Basis.EARLIER_LIFE)
+
+    def is_settled(self) -> bool:
+        """Return whether a lease granted now outlasts those by earlier incarnations' clocks."""
+        latest_ms = self._foreign_end_ms - RUN_LEASE_S * 1000
+        return self._clock_ms is not None and self._clock_ms >= latest_ms
+
     def has_expired(self) -> bool:
         """Return whether the lease has certainly expired; False while the clock is unknown."""
         if self._clock_ms is None:
@@ -140,7 +167,8 @@
 
     def are_settled(self, service: ids.ServiceId) -> bool:
         """Return whether calls of earlier terms can no longer extend leases, by their age alone."""
-        settled_s = CONTACT_S + settling_s(self._max_lease_s)
+        lease_s = (self._max_lease_s - RUN_LEASE_S) / MIN_CLOCK_RATE
+        settled_s = CONTACT_S + MAX_ORDER_DELAY_S + lease_s
         return not self.were_granted or self._fenced_for_s(service) > settled_s
 
     def _fenced_for_s(self, service: ids.ServiceId) -> float:
@@ -156,5 +184,4 @@
     "Basis",
     "EarlierLeases",
     "RunLease",
-    "settling_s",
 ]
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import structlog
 import trio
 
-from bronzequay import clock, errors, figures
+from bronzequay import errors, figures, ids
 from bronzequay.control import delivery, listings, run_lease
 from bronzequay.core import lifecycle, losses, model, pacing, settling
 from bronzequay.platform import executor_entries, workers
@@ -60,13 +60,24 @@
     LAPSED = "lapsed"
 
 
+class Replaced(NamedTuple):
+    """What a term has sent to incarnations of an executor that are over.
+
+    :param starts: unanswered starts, which a later incarnation may carry out
+    :param latest_deadline_ms: latest deadline of their run leases, each on its own clock
+    """
+
+    starts: tuple[model.Start, ...] = ()
+    latest_deadline_ms: float = 0.0
+
+
 class Session:
     """Session with one incarnation of a worker.
 
     :param entry: the executor's entry in the store
     :param term: the term that the session belongs to
     :param barred: unanswered starts sent to an earlier incarnation under the same id
-    :param replaced_s: boot clock when an earlier incarnation under the same id was known to be over
+    :param replaced: what this term has sent to earlier incarnations under the same id
     :ivar is_listed: whether the store still lists the executor
     """
 
@@ -74,21 +85,25 @@
         self,
         entry: executor_entries.ExecutorEntry,
         term: Term,
-        barred: tuple[model.Start, ...] = (),
-        replaced_s: float = float("-inf"),
+        replaced: Replaced,
     ) -> None:
         self.entry = entry
         self.worker = entry.spec.worker
         self.machine = entry.spec.machine
         self.service = entry.spec.service
         self.is_listed = True
-        self._lease = run_lease.RunLease()
+        self._lease = run_lease.RunLease(term.max_run_lease_s, replaced.latest_deadline_ms)
+        # Above that of the sessions with earlier incarnations, whose calls the worker then refuses,
+        # and below the next term's: the entry was read while the leader lease was held.
+        fence = ids.Epoch(max(term.epoch, entry.rev))
         self.delivery = delivery.Delivery(
-            entry, term, deadline_ms=self._start_deadline_ms, clock_ms=self._lease.clock_ms
+            entry,
+            term,
+            deadline_ms=self._start_deadline_ms,
+            clock_ms=self._lease.clock_ms,
+            fence=fence,
         )
-        self._barred = barred
-        self._bar_acked_s: dict[model.Start, float] = {}
-        self._replaced_s = replaced_s
+        self._unanswered = {(start.key, start.run): start for start in replaced.starts}
         self._term = term
         self._scope = trio.CancelScope()
         self._acked_end = 0
@@ -129,23 +144,15 @@
         with self._scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.delivery.run)
-                for start in self._barred:
-                    nursery.start_soon(self._bar, start)
+                await self._term.wait_until_trusted()
                 await self._renew_leases()
                 nursery.cancel_scope.cancel()
 
-    def close(self) -> tuple[model.Start, ...]:
-        """End the session.
-
-        :return: starts that may still take effect on a later incarnation under the same id
-        """
+    def close(self) -> Replaced:
+        """End the session; return what a later incarnation may carry out."""
         self._scope.cancel()
-        return (*self.delivery.unanswered_starts(), *self._barred)
-
-    async def _bar(self, start: model.Start) -> None:
-        """Bar a start that an earlier incarnation left unanswered, or stop it if it runs here."""
-        await self.delivery.stop(model.Stop(self.worker, start.key, start.run))
-        self._bar_acked_s[start] = trio.current_time()
+        starts = (*self.delivery.unanswered_starts(), *self._unanswered.values())
+        return Replaced(starts, self._lease.latest_deadline_ms)
 
     async def _renew_leases(self) -> None:
         """Renew the run leases until the incarnation is over.
@@ -208,6 +215,8 @@
         # A worker out of contact gets no renewal, so that its leases can expire.
         deadline_ms = self._lease.end_if_granted_now_ms() if self.is_in_contact else None
         self._was_renewed = deadline_ms is not None
+        if deadline_ms is not None:
+            self._lease.on_send(deadline_ms)
         reply: workers.Reply | None = None
         try:
             reply = await client.hold(
@@ -235,6 +244,7 @@
     def _start_deadline_ms(self) -> float:
         """Return the end of the lease for a start that is about to be sent."""
         end_ms = self._lease.end_if_granted_now_ms()
+        self._lease.on_send(end_ms)
         self._lease.extend(end_ms, run_lease.Basis.START)
         return end_ms
 
@@ -290,8 +300,9 @@
         is_first = not self._has_listing
         if is_first:
             self._term.roster.on_first_listing(self)
-        self._count_foreign_lease(listing, is_first=is_first)
         if is_first:
+            is_settled = self._term.is_settled(self.worker, self.service)
+            self._lease.count_earlier_calls(is_settled=is_settled)
             event = "worker_regained" if self._is_lost else "worker_reached"
             _log.info(event, worker=self.worker, **self._lease.describe())
         self._has_listing, self._is_lost, self._is_unanswered = True, False, False
@@ -302,27 +313,6 @@
             if not scope.cancelled_caught and listing.ended:
                 self._acked_end = max(end.number for end in listing.ended)
 
-    def _count_foreign_lease(self, listing: workers.Listing, *, is_first: bool) -> None:
-        """Count the leases that may hold now and that this session has not granted.
-
-        A renewal sent to an earlier incarnation may still arrive, and the clock of that one was
-        ahead. An earlier term may have renewed the lease just before this term's first call.
-        """
-        was_replaced = clock.boot_s() - self._replaced_s < run_lease.MAX_ORDER_DELAY_S
-        if was_replaced or (is_first and not self._is_settled()):
-            end_ms = listing.clock_ms + self._term.max_run_lease_s * 1000
-            self._lease.extend(end_ms, run_lease.Basis.EARLIER_LIFE)
-        elif is_first:
-            lease_s = run_lease.RUN_LEASE_S / run_lease.MIN_CLOCK_RATE
-            self._lease.extend(listing.clock_ms + lease_s * 1000, run_lease.Basis.EARLIER_TERM)
-
-    def _is_settled(self) -> bool:
-        """Return whether calls to earlier incarnations can no longer extend leases here."""
-        settling_s = run_lease.settling_s(self._term.max_run_lease_s)
-        if clock.boot_s() - self._replaced_s < settling_s:
-            return False
-        return self._term.is_settled(self.worker, self.service)
-
     def _post(self, listing: workers.Listing, sent_s: float, *, is_first: bool) -> trio.Event:
         """Have the newest listing applied; it contains all that a pending older one reports."""
         is_posted = self._pending is not None
@@ -342,7 +332,7 @@
         worker.heard_s, worker.stated_s = self._answered_s, self.stated_s
         state.is_changed |= worker.is_silent
         worker.is_silent = False
-        if self._is_settled():
+        if self._lease.is_settled():
             settling.settle(state, worker)
         losses.forgive(state, worker)
         listings.apply(state, worker, listing)
@@ -353,21 +343,30 @@
         self.delivery.retain_answers({(key, task.run) for key, task in worker.tasks.items()})
         worker.stray_runs &= listed
         lifecycle.stop_stray_runs(state, worker, listed)
-        self._end_barred(state, listed, sent_s)
+        self._end_unanswered(state, listing)
         if is_first:
             worker.is_ready = state.is_changed = True
             for task in worker.tasks.values():
                 if task.phase is model.Phase.STOPPING:
                     state.commands.append(model.Stop(self.worker, task.key, task.run))
 
-    def _end_barred(
-        self, state: State, listed: set[tuple[model.TaskKey, int]], sent_s: float
-    ) -> None:
-        """End barred runs that a listing requested after the answer to their stop does not show."""
-        for start, acked_s in list(self._bar_acked_s.items()):
-            if acked_s < sent_s and (start.key, start.run) not in listed:
-                del self._bar_acked_s[start]
-                delivery.end_as_lost(state, start)
+    def _end_unanswered(self, state: State, listing: workers.Listing) -> None:
+        """End the runs of starts that earlier incarnations left unanswered.
+
+        The session's first call has fenced these starts, so that a listing shows which of them have
+        taken effect. A run that is listed as running is stopped as a stray run.
+        """
+        running = {(run.key, run.run) for run in listing.running}
+        for ended in listing.ended:
+            start = self._unanswered.pop((ended.key, ended.run), None)
+            if start is not None:
+                lifecycle.end_run(
+                    state, start.worker, start.key, start.run, ended.end, ended.checkpoint
+                )
+        if len(listing.ended) >= MAX_LISTED_ENDS:
+            return
+        for run in self._unanswered.keys() - running:
+            delivery.end_as_lost(state, self._unanswered.pop(run))
 
     def _reconcile(
         self,
@@ -386,4 +385,4 @@
                 lifecycle.end_run(state, self.worker, task.key, task.run, model.End.NEVER_RAN)
 
 
-__all__ = ["Session"]
+__all__ = ["Ending", "Replaced", "Session"]
--- a/src/bronzequay/platform/executor_entries.py
+++ b/src/bronzequay/platform/executor_entries.py
@@ -14,6 +14,7 @@
 from bronzequay import codec, ids
 from bronzequay.core import model
 from bronzequay.net import address
+from bronzequay.platform import kv
 
 PREFIX = "servers/"
 _EXECUTOR_ID = re.compile(r"[!-~]{1,200}")
@@ -30,6 +31,7 @@
     :param clock_ms: the executor's clock when it wrote the entry, None when not stated
     :param cold_s: for how much longer its tasks run slowly after an idle time, 0 when not stated
     :param invalid_fields: names of fields whose values were left out because they are invalid
+    :param rev: the store's revision when it was written
     """
 
     executor: ids.ExecutorId
@@ -40,6 +42,7 @@
     clock_ms: float | None
     cold_s: float = 0.0
     invalid_fields: tuple[str, ...] = ()
+    rev: ids.Revision = kv.ABSENT
 
 
 class _Capacity(msgspec.Struct, rename="camel"):
@@ -81,7 +84,7 @@
     return ids.ExecutorId(key[len(PREFIX) :])
 
 
-def decode(key: str, value: bytes) -> ExecutorEntry | None:
+def decode(key: str, value: bytes, rev: ids.Revision = kv.ABSENT) -> ExecutorEntry | None:
     """Decode an executor's entry; None when it is malformed or not of a usable executor."""
     executor = executor_from_key(key)
     try:
@@ -93,10 +96,10 @@
         and address.is_valid(wire.addr)
         and _EXECUTOR_ID.fullmatch(executor) is not None
     )
-    return _from_wire(executor, wire) if is_usable else None
+    return _from_wire(executor, wire, rev) if is_usable else None
 
 
-def _from_wire(executor: ids.ExecutorId, wire: _Entry) -> ExecutorEntry:
+def _from_wire(executor: ids.ExecutorId, wire: _Entry, rev: ids.Revision) -> ExecutorEntry:
     invalid_fields = []
     data_centre = ""
     if isinstance(wire.zone, str):
@@ -130,6 +133,7 @@
         wire.clock_ms,
         cold_s=cold_ms / 1000,
         invalid_fields=tuple(invalid_fields),
+        rev=rev,
     )
 
 
