Runs of unanswered starts outlive the lapse of the life they were sent to

Cause: a start that went unanswered was freed with its worker's leases, about 8 s after the last answer, although the next incarnation may carry it out up to 15 s after it was sent and then holds the run for up to 10 s. Where the executor was not listed, the further 10 s were left out after 15 s; and a start was forgotten after 15 s, when a run of it could still last. A term that had not reached a worker freed the runs of starts that an earlier term had sent likewise.

Change: on a lapse these runs stay placed for late_run_s (25.2 s) or until the worker answers; the same time applies wherever an unanswered start is waited for. The bookkeeping of such starts moves from session and delivery to control/late_starts.py.

--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -78,13 +78,9 @@
         return self._answered_s.get((key, run), float("inf"))
 
     def unanswered_starts(self) -> tuple[model.Start, ...]:
-        """Return the unanswered starts that may still take effect."""
-        now_s = trio.current_time()
-        return tuple(
-            start
-            for sent_s, start in self._unanswered.values()
-            if now_s - sent_s < run_lease.MAX_ORDER_DELAY_S
-        )
+        """Return the unanswered starts that a later incarnation may carry out, or may have."""
+        oldest_s = trio.current_time() - run_lease.late_run_s(self._term.max_run_lease_s)
+        return tuple(start for sent_s, start in self._unanswered.values() if sent_s > oldest_s)
 
     def retain_answers(self, runs: set[tuple[model.TaskKey, int]]) -> None:
         """Discard the answer times of all runs but the given ones."""
@@ -277,11 +273,6 @@
         self._answered_s[(command.key, command.run)] = trio.current_time()
 
 
-def end_as_lost(state: State, start: model.Start) -> None:
-    """End the run of a start as lost with its worker incarnation."""
-    lifecycle.end_run(state, start.worker, start.key, start.run, model.End.LOST)
-
-
 def _end_as_withheld(state: State, command: model.Start) -> None:
     lifecycle.end_run(state, command.worker, command.key, command.run, model.End.NEVER_RAN)
 
@@ -295,4 +286,4 @@
     lifecycle.end_run(state, command.worker, command.key, command.run, model.End.NEVER_RAN)
 
 
-__all__ = ["Delivery", "end_as_lost"]
+__all__ = ["Delivery"]
--- /dev/null
+++ b/src/bronzequay/control/late_starts.py
@@ -0,0 +1,70 @@
+"""Starts that went unanswered and may be carried out by a later incarnation of their worker."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from bronzequay.core import lifecycle, model
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from bronzequay import ids
+    from bronzequay.core.state import State
+    from bronzequay.core.tasks import Task
+    from bronzequay.platform import workers
+
+LateStarts = dict[tuple[model.TaskKey, int], model.Start]
+"""Starts by task and number of the run."""
+
+
+class Replaced(NamedTuple):
+    """What a term has sent to incarnations of an executor that are over.
+
+    :param starts: unanswered starts
+    :param latest_deadline_ms: latest deadline of their run leases, each on its own clock
+    """
+
+    starts: tuple[model.Start, ...] = ()
+    latest_deadline_ms: float = 0.0
+
+
+def by_run(starts: Iterable[model.Start]) -> LateStarts:
+    """Return starts by task and number of the run."""
+    return {(start.key, start.run): start for start in starts}
+
+
+def of_tasks(worker: ids.WorkerId, tasks: Iterable[Task]) -> LateStarts:
+    """Return the starts of the runs that tasks have on a worker."""
+    return by_run(model.Start(worker, task.key, task.run, task.checkpoint) for task in tasks)
+
+
+def apply_listing(
+    state: State, starts: LateStarts, listing: workers.Listing, *, is_complete: bool
+) -> None:
+    """End the runs of starts that a later incarnation has not carried out, or has ended.
+
+    Its first answer to a session fences the starts, so that each listing shows which of them have
+    taken effect. A run that is listed as running is stopped as a stray run.
+
+    :param starts: starts to earlier incarnations; those whose runs end are removed
+    :param is_complete: whether the listing shows all ends
+    """
+    for ended in listing.ended:
+        start = starts.pop((ended.key, ended.run), None)
+        if start is not None:
+            lifecycle.end_run(
+                state, start.worker, start.key, start.run, ended.end, ended.checkpoint
+            )
+    if is_complete:
+        running = {(run.key, run.run) for run in listing.running}
+        for run in starts.keys() - running:
+            end_as_lost(state, starts.pop(run))
+
+
+def end_as_lost(state: State, start: model.Start) -> None:
+    """End the run of a start as lost with its worker incarnation."""
+    lifecycle.end_run(state, start.worker, start.key, start.run, model.End.LOST)
+
+
+__all__ = ["LateStarts", "Replaced", "apply_listing", "by_run", "end_as_lost", "of_tasks"]
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -10,7 +10,7 @@
 import trio
 
 from bronzequay import figures
-from bronzequay.control import delivery, freshness, prefix, run_lease, session
+from bronzequay.control import freshness, late_starts, prefix, run_lease, session
 from bronzequay.core import lifecycle, losses, model, resize, rollout, settling
 from bronzequay.platform import executor_entries, workers
 
@@ -55,7 +55,7 @@
         self.entries = freshness.Freshness("worker_entries", drain_s)
         self._sessions: dict[ids.ExecutorId, session.Session] = {}
         self.first_listings = trio.CapacityLimiter(MAX_FIRST_LISTINGS)
-        self._replaced: dict[ids.ExecutorId, session.Replaced] = {}
+        self._replaced: dict[ids.ExecutorId, late_starts.Replaced] = {}
         self._successors: dict[ids.ExecutorId, executor_entries.ExecutorEntry] = {}
         self._by_machine: dict[ids.MachineId, set[session.Session]] = {}
 
@@ -168,7 +168,7 @@
         self._term.post(lambda state: _update_worker(state, entry, stated_s))
 
     def _open_session(self, entry: executor_entries.ExecutorEntry) -> None:
-        replaced = self._replaced.pop(entry.executor, session.Replaced())
+        replaced = self._replaced.pop(entry.executor, late_starts.Replaced())
         opened = session.Session(entry, self._term, replaced)
         self._sessions[entry.executor] = opened
         self._by_machine.setdefault(opened.machine, set()).add(opened)
@@ -268,22 +268,16 @@
             loss = losses.Loss.LEFT if ended.entry.is_draining else losses.Loss.CRASHED
         self._term.post(lambda state: _remove_worker(state, ended.worker, unanswered, loss))
         if unanswered:
-            self._nursery.start_soon(self._end_unanswered, executor, replaced.starts)
+            self._nursery.start_soon(self._end_unanswered, replaced.starts)
         successor = self._successors.pop(executor, None)
         if successor is not None:
             self._open_session(successor)
 
-    async def _end_unanswered(
-        self, executor: ids.ExecutorId, starts: tuple[model.Start, ...]
-    ) -> None:
+    async def _end_unanswered(self, starts: tuple[model.Start, ...]) -> None:
         """End runs that no later incarnation has answered for, once none can run any more."""
-        await trio.sleep(run_lease.MAX_ORDER_DELAY_S)
-        if executor in self._sessions:
-            # A start may have reached a later incarnation that could not be reached; the run's
-            # lease there expires within this time.
-            await trio.sleep(self._term.max_run_lease_s / run_lease.MIN_CLOCK_RATE)
+        await trio.sleep(run_lease.late_run_s(self._term.max_run_lease_s))
         for start in starts:
-            self._term.post(functools.partial(delivery.end_as_lost, start=start))
+            self._term.post(functools.partial(late_starts.end_as_lost, start=start))
 
 
 def _add_worker(state: State, entry: executor_entries.ExecutorEntry) -> None:
--- a/src/bronzequay/control/run_lease.py
+++ b/src/bronzequay/control/run_lease.py
@@ -27,6 +27,15 @@
 earlier terms granted there have expired, unless a call reached a later incarnation."""
 
 
+def late_run_s(max_lease_s: float) -> float:
+    """Return the time after an unanswered start from which no incarnation runs it any more.
+
+    :param max_lease_s: longest lease that a worker grants, which is what a deadline by the clock of
+        an earlier incarnation amounts to
+    """
+    return MAX_ORDER_DELAY_S + max_lease_s / MIN_CLOCK_RATE
+
+
 class Basis(enum.Enum):
     """The call that the believed end of a lease rests on.
 
@@ -162,7 +171,7 @@
 
         :param is_settled: whether no call to an earlier incarnation can extend them any more
         """
-        unsettled_s = CONTACT_S + MAX_ORDER_DELAY_S + self._max_lease_s / MIN_CLOCK_RATE
+        unsettled_s = CONTACT_S + late_run_s(self._max_lease_s)
         return self._fenced_for_s(service) > (SETTLED_EXPIRY_S if is_settled else unsettled_s)
 
     def are_settled(self, service: ids.ServiceId) -> bool:
@@ -184,4 +193,5 @@
     "Basis",
     "EarlierLeases",
     "RunLease",
+    "late_run_s",
 ]
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import structlog
 import trio
 
-from bronzequay import errors, figures, ids
-from bronzequay.control import delivery, listings, run_lease
+from bronzequay import clock, errors, figures, ids
+from bronzequay.control import delivery, late_starts, listings, run_lease
 from bronzequay.core import lifecycle, losses, model, pacing, settling
 from bronzequay.platform import executor_entries, workers
 
@@ -60,17 +60,6 @@
     LAPSED = "lapsed"
 
 
-class Replaced(NamedTuple):
-    """What a term has sent to incarnations of an executor that are over.
-
-    :param starts: unanswered starts, which a later incarnation may carry out
-    :param latest_deadline_ms: latest deadline of their run leases, each on its own clock
-    """
-
-    starts: tuple[model.Start, ...] = ()
-    latest_deadline_ms: float = 0.0
-
-
 class Session:
     """Session with one incarnation of a worker.
 
@@ -85,7 +74,7 @@
         self,
         entry: executor_entries.ExecutorEntry,
         term: Term,
-        replaced: Replaced,
+        replaced: late_starts.Replaced,
     ) -> None:
         self.entry = entry
         self.worker = entry.spec.worker
@@ -103,7 +92,7 @@
             clock_ms=self._lease.clock_ms,
             fence=fence,
         )
-        self._unanswered = {(start.key, start.run): start for start in replaced.starts}
+        self._unanswered = late_starts.by_run(replaced.starts)
         self._term = term
         self._scope = trio.CancelScope()
         self._acked_end = 0
@@ -111,6 +100,8 @@
         self._has_listing = False
         self._is_lost = False
         self._is_unanswered = False
+        self._kept: late_starts.LateStarts = {}
+        self._lapsed_s = 0.0
         self._answered_s = float("-inf")
         self._pending: tuple[workers.Listing, float] | None = None
         self._is_first_pending = False
@@ -148,11 +139,13 @@
                 await self._renew_leases()
                 nursery.cancel_scope.cancel()
 
-    def close(self) -> Replaced:
+    def close(self) -> late_starts.Replaced:
         """End the session; return what a later incarnation may carry out."""
         self._scope.cancel()
-        starts = (*self.delivery.unanswered_starts(), *self._unanswered.values())
-        return Replaced(starts, self._lease.latest_deadline_ms)
+        starts = (
+            late_starts.by_run(self.delivery.unanswered_starts()) | self._unanswered | self._kept
+        )
+        return late_starts.Replaced(tuple(starts.values()), self._lease.latest_deadline_ms)
 
     async def _renew_leases(self) -> None:
         """Renew the run leases until the incarnation is over.
@@ -263,8 +256,11 @@
         self._is_unanswered = True
         failed_s = trio.current_time()
         self._term.post(lambda state: self._mark_silent(state, failed_s))
-        if self._is_lost or not self._are_leases_expired():
-            return self._is_lost and not self.is_listed and self._end()
+        if self._is_lost:
+            self._term.post(self._end_kept_runs)
+            return not self.is_listed and self._end()
+        if not self._are_leases_expired():
+            return False
         _log.warning(
             "worker_lapsed",
             worker=self.worker,
@@ -272,7 +268,7 @@
             silent_s=round(trio.current_time() - self._answered_s, 3),
             **self._lease.describe(),
         )
-        self._has_listing, self._is_lost = False, True
+        self._has_listing, self._is_lost, self._lapsed_s = False, True, clock.boot_s()
         self.delivery.discard_answers()
         self._term.post(self._end_lapsed_runs)
         return False
@@ -288,7 +284,28 @@
         if worker is not None:
             loss = losses.Loss.LEFT if self.entry.is_draining else losses.Loss.LAPSED
             losses.record(state, worker, loss)
-        lifecycle.end_lost_runs(state, self.worker)
+            self._keep_late_runs(worker)
+        lifecycle.end_lost_runs(state, self.worker, self._kept.keys())
+
+    def _keep_late_runs(self, worker: Worker) -> None:
+        """Keep the runs that a later incarnation may have, although the leases here have expired.
+
+        These are the runs of unanswered starts. An earlier term's starts may have gone unanswered
+        too, if the record of the run does not say otherwise.
+        """
+        self._kept = late_starts.by_run(self.delivery.unanswered_starts())
+        if self._lease.is_clock_known or self._term.are_earlier_leases_expired(
+            self.service, is_settled=False
+        ):
+            return
+        unsettled = (task for task in worker.tasks.values() if not task.is_settled)
+        self._kept |= late_starts.of_tasks(self.worker, unsettled)
+
+    def _end_kept_runs(self, state: State) -> None:
+        kept_s = run_lease.late_run_s(self._term.max_run_lease_s)
+        if self._is_lost and clock.boot_s() - self._lapsed_s > kept_s:
+            while self._kept:
+                late_starts.end_as_lost(state, self._kept.popitem()[1])
 
     def _end(self) -> bool:
         self._term.roster.end_session(self, Ending.LAPSED)
@@ -338,36 +355,19 @@
         listings.apply(state, worker, listing)
         self._has_fillers_beside_serving = pacing.has_fillers_beside_serving(state, worker)
         listed = {(run.key, run.run) for run in listing.running}
-        if len(listing.ended) < MAX_LISTED_ENDS:
+        is_complete = len(listing.ended) < MAX_LISTED_ENDS
+        if is_complete:
             self._reconcile(state, worker, listed, sent_s, is_first=is_first)
         self.delivery.retain_answers({(key, task.run) for key, task in worker.tasks.items()})
         worker.stray_runs &= listed
         lifecycle.stop_stray_runs(state, worker, listed)
-        self._end_unanswered(state, listing)
+        late_starts.apply_listing(state, self._unanswered, listing, is_complete=is_complete)
         if is_first:
             worker.is_ready = state.is_changed = True
             for task in worker.tasks.values():
                 if task.phase is model.Phase.STOPPING:
                     state.commands.append(model.Stop(self.worker, task.key, task.run))
 
-    def _end_unanswered(self, state: State, listing: workers.Listing) -> None:
-        """End the runs of starts that earlier incarnations left unanswered.
-
-        The session's first call has fenced these starts, so that a listing shows which of them have
-        taken effect. A run that is listed as running is stopped as a stray run.
-        """
-        running = {(run.key, run.run) for run in listing.running}
-        for ended in listing.ended:
-            start = self._unanswered.pop((ended.key, ended.run), None)
-            if start is not None:
-                lifecycle.end_run(
-                    state, start.worker, start.key, start.run, ended.end, ended.checkpoint
-                )
-        if len(listing.ended) >= MAX_LISTED_ENDS:
-            return
-        for run in self._unanswered.keys() - running:
-            delivery.end_as_lost(state, self._unanswered.pop(run))
-
     def _reconcile(
         self,
         state: State,
@@ -385,4 +385,4 @@
                 lifecycle.end_run(state, self.worker, task.key, task.run, model.End.NEVER_RAN)
 
 
-__all__ = ["Ending", "Replaced", "Session"]
+__all__ = ["Ending", "Session"]
--- a/tests/control/test_later_lives.py
+++ b/tests/control/test_later_lives.py
@@ -11,7 +11,7 @@
 import pytest
 import trio
 
-from bronzequay.control import keys, session
+from bronzequay.control import keys, run_lease, session
 from bronzequay.fakes import tasks
 from tests.control import test_chaos, test_leases
 
@@ -222,7 +222,7 @@
     await trio.sleep(1.0)
     calls = Calls(monkeypatch, site, executor.address)
     resumed_s = await suspend_after_answer(
-        monkeypatch, session.CONTACT_S + 1.0, lambda: test_leases.cut(site, executor)
+        monkeypatch, run_lease.CONTACT_S + 1.0, lambda: test_leases.cut(site, executor)
     )
     site.submit(plan=tasks.Plan(run_s=RUN_S))
     await trio.sleep(8.0)
