Starts that the next life may have answered are not lost with the former

Cause: once a later incarnation had answered, all runs of the earlier one but unanswered starts ended as lost and started again at once. A start that the later one had itself answered was among them: its answer holds no incarnation, and a clock that is near or ahead of the earlier one's does not tell them apart. Runs of which a fresh term had no listing were ended likewise.

Change: runs that their worker has not listed, or of which a start may be unanswered, end with the first listing of the next incarnation, like unanswered starts.

A restart still frees listed runs at once.

--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -143,7 +143,10 @@
         """End the session; return what a later incarnation may carry out."""
         self._scope.cancel()
         starts = (
-            late_starts.by_run(self.delivery.unanswered_starts()) | self._unanswered | self._kept
+            late_starts.by_run(self.delivery.unanswered_starts())
+            | self._term.uncertain_starts(self.worker)
+            | self._unanswered
+            | self._kept
         )
         return late_starts.Replaced(tuple(starts.values()), self._lease.latest_deadline_ms)
 
@@ -245,7 +248,7 @@
         """Return whether the worker's run leases have certainly expired."""
         if not self._lease.is_clock_known:
             is_settled = self._term.is_settled(self.worker, self.service)
-            return self._term.are_earlier_leases_expired(self.service, is_settled=is_settled)
+            return self._term.earlier_leases.have_expired(self.service, is_settled=is_settled)
         return self._lease.has_expired()
 
     def _on_no_answer(self) -> bool:
@@ -294,7 +297,7 @@
         too, if the record of the run does not say otherwise.
         """
         self._kept = late_starts.by_run(self.delivery.unanswered_starts())
-        if self._lease.is_clock_known or self._term.are_earlier_leases_expired(
+        if self._lease.is_clock_known or self._term.earlier_leases.have_expired(
             self.service, is_settled=False
         ):
             return
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -16,6 +16,7 @@
     evacuations,
     intake,
     journal,
+    late_starts,
     learned,
     roster,
     run_lease,
@@ -73,6 +74,7 @@
     :param holdoff_s: time from the term's start for which machines get no orders
     :param retention_s: time for which a job's status is kept after the job's end
     :param has_admission: whether the waits of overloaded queues are published
+    :ivar earlier_leases: run leases that earlier terms granted
     """
 
     def __init__(
@@ -117,7 +119,7 @@
         )
         self._posts: list[tuple[StateChange, trio.Event]] = []
         self._wake = trio.Event()
-        self._earlier_leases = run_lease.EarlierLeases(max_run_lease_s)
+        self.earlier_leases = run_lease.EarlierLeases(max_run_lease_s)
         self._fence_checked_s = float("-inf")
         self._last_pass_s = float("-inf")
         self._next_pass_s = 0.0
@@ -160,11 +162,14 @@
 
     def is_settled(self, worker: ids.WorkerId, service: ids.ServiceId) -> bool:
         """Return whether calls of earlier terms can no longer extend a worker's leases."""
-        return self._earlier_leases.are_settled(service) or settling.is_settled(self._state, worker)
+        return self.earlier_leases.are_settled(service) or settling.is_settled(self._state, worker)
 
-    def are_earlier_leases_expired(self, service: ids.ServiceId, *, is_settled: bool) -> bool:
-        """Return whether earlier terms' run leases have expired on workers not yet reached."""
-        return self._earlier_leases.have_expired(service, is_settled=is_settled)
+    def uncertain_starts(self, worker_id: ids.WorkerId) -> late_starts.LateStarts:
+        """Return the starts of a worker's runs that a later incarnation may have carried out."""
+        worker = self._state.workers.get(worker_id)
+        tasks = () if worker is None else worker.tasks.values()
+        uncertain = (task for task in tasks if not settling.is_certainly_here(task))
+        return late_starts.of_tasks(worker_id, uncertain)
 
     def post(self, change: StateChange) -> trio.Event:
         """Queue a change of the core's state.
@@ -285,7 +290,7 @@
 
     async def _run(self) -> None:
         self._read_clocks()
-        self._earlier_leases.were_granted = await self._journal.fence_earlier_terms()
+        self.earlier_leases.were_granted = await self._journal.fence_earlier_terms()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._upkeep.load, self._state)
             nursery.start_soon(self._intake.load, self._state, self._journal)
@@ -360,9 +365,9 @@
         """End the runs on workers that the store does not list once their leases have expired."""
         orphaned_tasks = self._state.orphaned_tasks
         services = {task.service for tasks in orphaned_tasks.values() for task in tasks.values()}
-        for service in self._earlier_leases.unfenced(services | self.roster.services()):
+        for service in self.earlier_leases.unfenced(services | self.roster.services()):
             if self.roster.reaches_majority(service):
-                self._earlier_leases.on_majority(service)
+                self.earlier_leases.on_majority(service)
         for worker in list(orphaned_tasks):
             tasks = list(orphaned_tasks[worker].values())
             lost = [task for task in tasks if self._is_lost_with_earlier_leases(task)]
@@ -372,7 +377,7 @@
                 lifecycle.end_lost_runs(self._state, worker, kept)
 
     def _is_lost_with_earlier_leases(self, task: Task) -> bool:
-        return self.are_earlier_leases_expired(task.service, is_settled=task.is_settled)
+        return self.earlier_leases.have_expired(task.service, is_settled=task.is_settled)
 
     def _read_clocks(self) -> None:
         self._state.now_s = trio.current_time()
--- a/src/bronzequay/core/settling.py
+++ b/src/bronzequay/core/settling.py
@@ -55,4 +55,13 @@
     return any(task.is_settled for task in state.orphaned_tasks.get(worker_id, {}).values())
 
 
-__all__ = ["inherit", "is_settled", "record_answer", "settle"]
+def is_certainly_here(task: Task) -> bool:
+    """Return whether the run of a task is on its worker and can begin nowhere else.
+
+    Its worker has listed it, and no start of it is left that another incarnation could carry out.
+    An answer to a start does not show which incarnation has given it.
+    """
+    return task.first_sample is not None and task.is_answered
+
+
+__all__ = ["inherit", "is_certainly_here", "is_settled", "record_answer", "settle"]
