Runs on a former life end as soon as the next one answers a fresh term

Cause: a fresh term knew the runs that an earlier one had placed on an earlier incarnation, but not that the next one's answer proves that one to be over: they waited for 8.6 s, and were then started elsewhere even if the next incarnation had carried out one of the starts. An end of such a run there was acknowledged and thrown away.

Change: with the first listing of a worker, the runs on its earlier incarnations are treated as unanswered starts: they end at once unless the listing shows them.

The seeded test of later lives no longer boots an executor that another injector has booted meanwhile: the runs of the first boot were missing from its log, and looked like a second run at once.

--- a/src/bronzequay/control/late_starts.py
+++ b/src/bronzequay/control/late_starts.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from bronzequay.core import lifecycle, model
+from bronzequay.core import lifecycle, losses, model
+from bronzequay.platform import executor_entries
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -39,6 +40,20 @@
     return by_run(model.Start(worker, task.key, task.run, task.checkpoint) for task in tasks)
 
 
+def of_orphans(state: State, worker: ids.WorkerId) -> LateStarts:
+    """Return the starts of the runs that earlier terms left on earlier incarnations of a worker.
+
+    Records their loss, which is certain once the worker has answered.
+    """
+    starts: LateStarts = {}
+    executor = executor_entries.executor_of(worker)
+    for name, tasks in list(state.orphaned_tasks.items()):
+        if name != worker and executor_entries.executor_of(name) == executor:
+            starts |= of_tasks(name, tasks.values())
+            losses.record_absent(state, name, list(tasks.values()))
+    return starts
+
+
 def apply_listing(
     state: State, starts: LateStarts, listing: workers.Listing, *, is_complete: bool
 ) -> None:
@@ -67,4 +82,12 @@
     lifecycle.end_run(state, start.worker, start.key, start.run, model.End.LOST)
 
 
-__all__ = ["LateStarts", "Replaced", "apply_listing", "by_run", "end_as_lost", "of_tasks"]
+__all__ = [
+    "LateStarts",
+    "Replaced",
+    "apply_listing",
+    "by_run",
+    "end_as_lost",
+    "of_orphans",
+    "of_tasks",
+]
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -364,6 +364,8 @@
         self.delivery.retain_answers({(key, task.run) for key, task in worker.tasks.items()})
         worker.stray_runs &= listed
         lifecycle.stop_stray_runs(state, worker, listed)
+        if is_first:
+            self._unanswered |= late_starts.of_orphans(state, self.worker)
         late_starts.apply_listing(state, self._unanswered, listing, is_complete=is_complete)
         if is_first:
             worker.is_ready = state.is_changed = True
--- a/tests/control/test_later_lives.py
+++ b/tests/control/test_later_lives.py
@@ -291,6 +291,9 @@
         near_ms = executor.clock_ms + rng.uniform(-600.0, 600.0)
         site.crash(executor)
         await trio.sleep(rng.choice([0.0, 0.0, rng.uniform(0.1, 4.0)]))
+        if executor.is_up:
+            # Another injector has started it; its runs must end in the log too.
+            site.crash(executor)
         executor.clock_start_ms = rng.choice([0.0, near_ms, rng.uniform(0.0, 90_000.0)])
         executor.clock_rate = rng.choice([1.0, 0.98])
         site.reboot(executor)
