Count a machine as back from its upkeep once a worker there has answered

Two machines could be down for a wave where one was allowed (LIMIT): a machine counted as back once an entry of another worker had been read after the upkeep began. The entry may be that of a life which began between the order and the upkeep and which the upkeep has ended; entries arrive up to seconds late.

Change: the worker must also have answered its first listing. It joined after the upkeep was known to be carried out, and its session calls it only after that, so the answer comes from a life after the upkeep. Drains change nothing of this; a worker that has lapsed since counts again once it or its next life answers. A machine whose new worker cannot be reached now counts as down until it is, where its entry was enough before.

--- a/src/bronzequay/core/upkeep.py
+++ b/src/bronzequay/core/upkeep.py
@@ -85,17 +85,19 @@
 
 
 def _is_back(wave: Wave, worker: Worker) -> bool:
-    """Return whether a worker has joined after the upkeep of its machine.
+    """Return whether a worker has joined and answered after the upkeep of its machine.
 
-    A machine may crash before its order is carried out, and an order that has been carried out may
-    be acknowledged only after the machine is back. A worker that has joined before that is back if
-    it is still heard after the time that the upkeep takes.
+    A machine may crash before its order is carried out, and the entry of a worker that the upkeep
+    has ended may be read late. An order that has been carried out may be acknowledged only after
+    the machine is back; a worker that has joined before that is back if it is still heard after the
+    time that the upkeep takes.
     """
     machine = worker.spec.machine
     begun_s = wave.begun_s.get(machine)
     if begun_s is None or worker.spec.worker == wave.ordered[machine]:
         return False
-    return worker.joined_s > begun_s or worker.heard_s - begun_s > MACHINE_DOWNTIME_S
+    has_answered = worker.is_ready and worker.joined_s > begun_s
+    return has_answered or worker.heard_s - begun_s > MACHINE_DOWNTIME_S
 
 
 def record_begun(state: State, number: int, machine: ids.MachineId) -> None:
