Let a fresh term lift the throttle of an earlier one from fillers

A filler that an earlier term had slowed down stayed slow for good where its serving neighbours had ended meanwhile: the fresh term believed that all runs are at full speed, so that it found nothing to order.

Change: the speed of a filler that is restored on a worker is unknown, as after a pace order without an answer, so that the first listing leads to an order; one call for each running filler after a takeover. Only for fillers: no other task is ever paced, and one whose speed is unknown gives no run time to the forecast. Stalls are told by progress alone and are not affected.

--- a/src/bronzequay/core/records.py
+++ b/src/bronzequay/core/records.py
@@ -223,6 +223,8 @@
             if job.services:
                 task.service = ids.ServiceId(job.services[task_record.worker])
             task.phase = model.Phase.STOPPING if step.job.is_final else model.Phase.RUNNING
+            if step.spec.is_filler:
+                task.speed_percent = None  # an earlier term may have throttled it
             state.orphaned_tasks.setdefault(task.worker, {})[task.key] = task
         elif task_record.is_done:
             task.phase = model.Phase.DONE
