Take back the crashes of workers that a term could not reach, also in later terms

A sound job failed after five takeovers at which its worker was cut off and unlisted (LOST): a run on a worker that a term never reaches counts as a crash, and nothing took that back when the worker was heard again. Crashes of lapsed workers were taken back only by the term that had counted them.

Change: each task keeps which of its counted crashes are of workers that may only be unreachable, in the same record as the counts, so that any term that hears such a worker takes them back, once. Only the same life does this, and it has not crashed; a crash of which the next life or nobody tells stays counted as before, so that tasks that crash their workers are given up no later. A second lapse of a worker no longer overwrites the notes of the first.

--- a/src/bronzequay/core/losses.py
+++ b/src/bronzequay/core/losses.py
@@ -96,7 +96,8 @@
     )
     if loss is Loss.CRASHED:
         state.lost_workers.append(_as_lost(state, worker))
-        state.lapsed_tasks.pop(worker.spec.worker, None)
+        for task in state.lapsed_tasks.pop(worker.spec.worker, ()):
+            task.unsure_crashes.pop(worker.spec.worker, None)
     if loss not in _COUNTED_LOSSES:
         return
     begun = [task for task in tasks if _may_have_begun(worker, task)]
@@ -105,24 +106,37 @@
 
 
 def record_absent(state: State, worker: ids.WorkerId, tasks: Sequence[Task]) -> None:
-    """Record the loss of a worker that has not joined in this term, before its runs are ended."""
+    """Record the loss of a worker that has not joined in this term, before its runs are ended.
+
+    The worker may only be unreachable, see ``forgive``.
+    """
     loss = Loss.UPKEEP if _is_in_upkeep(state, worker) else Loss.ABSENT
     _log_loss(state, tasks, worker=worker, why=loss.value)
     if loss is Loss.UPKEEP:
         return
     for task in tasks:
         task.crashes += 1
+        _mark_unsure(state, worker, task, was_starting=False)
     _give_up(state, worker, tasks, is_certain=False)
 
 
 def forgive(state: State, worker: Worker) -> None:
-    """Take back the crashes of a worker that was only unreachable."""
-    for task, was_starting in state.lapsed_tasks.pop(worker.spec.worker, ()):
+    """Take back the crashes of a worker that was only unreachable, also in earlier terms."""
+    for task in state.lapsed_tasks.pop(worker.spec.worker, ()):
+        was_starting = task.unsure_crashes.pop(worker.spec.worker, None)
+        if was_starting is None:
+            continue
         task.crashes = max(0, task.crashes - 1)
         task.fatal_starts = max(0, task.fatal_starts - was_starting)
         state.dirty_jobs.update({task.key.job} & state.jobs.keys())
 
 
+def _mark_unsure(state: State, worker: ids.WorkerId, task: Task, *, was_starting: bool) -> None:
+    """Record that a crash is taken back should its worker be heard again."""
+    task.unsure_crashes[worker] = was_starting
+    state.lapsed_tasks.setdefault(worker, []).append(task)
+
+
 def clear_suspects(state: State, worker: Worker) -> None:
     """Clear the suspects on a worker whose start it has survived.
 
@@ -137,6 +151,7 @@
             step = state.step_of(task.key)
             if step is not None and step.spec.is_endless:
                 task.crashes = task.confirmed_crashes = 0
+                task.unsure_crashes.clear()
                 state.dirty_jobs.add(task.key.job)
 
 
@@ -162,7 +177,8 @@
         # Excused tasks are suspected all the same, so that they are not excused again.
         _suspect(state, [task for task in excused if _was_starting(task)])
     else:
-        state.lapsed_tasks[worker.spec.worker] = [(task, task in starting) for task in suspects]
+        for task in suspects:
+            _mark_unsure(state, worker.spec.worker, task, was_starting=task in starting)
     _give_up(state, worker.spec.worker, starting or suspects, is_certain=is_certain)
     if starting:
         _give_up(state, worker.spec.worker, suspects, is_certain=False)
@@ -282,9 +298,11 @@
 
 def _as_lost(state: State, worker: Worker) -> LostWorker:
     lapsed_tasks = state.lapsed_tasks.get(worker.spec.worker, ())
-    lapsed = [task for task, _ in lapsed_tasks]
-    steps = frozenset(model.StepKey(*task.key[:3]) for task in (*worker.tasks.values(), *lapsed))
-    had_starting_tasks = any(was_starting for _, was_starting in lapsed_tasks) or any(
+    tasks = (*worker.tasks.values(), *lapsed_tasks)
+    steps = frozenset(model.StepKey(*task.key[:3]) for task in tasks)
+    had_starting_tasks = any(
+        task.unsure_crashes.get(worker.spec.worker) for task in lapsed_tasks
+    ) or any(
         _may_have_begun(worker, task) and _was_starting(task) for task in worker.tasks.values()
     )
     return LostWorker(worker.spec.rack, worker.heard_s, state.now_s, steps, had_starting_tasks)
--- a/src/bronzequay/core/records.py
+++ b/src/bronzequay/core/records.py
@@ -22,6 +22,7 @@
 
     :param worker: index into ``JobRecord.workers``, -1 when the task is not placed
     :param is_settled: see ``Task``; later terms rely on it where they cannot reach the worker
+    :param unsure_crashes: see ``Task``; a later term may reach these workers
     """
 
     index: codec.Count
@@ -34,6 +35,7 @@
     fatal_starts: int = 0
     confirmed_crashes: int = 0
     is_settled: bool = False
+    unsure_crashes: dict[ids.WorkerId, bool] = {}
 
 
 class StepRecord(msgspec.Struct, array_like=True):
@@ -123,6 +125,7 @@
         task.fatal_starts,
         task.confirmed_crashes,
         task.is_settled,
+        task.unsure_crashes,
     )
 
 
@@ -208,11 +211,8 @@
         task = step.tasks[task_record.index]
         task.run = task_record.run
         task.failures = task_record.failures
-        task.crashes, task.fatal_starts = task_record.crashes, task_record.fatal_starts
-        task.confirmed_crashes = task_record.confirmed_crashes
+        _restore_crashes(state, step, task, task_record)
         task.is_answered = task.is_settled = task_record.is_settled
-        if task.fatal_starts:
-            state.suspect_steps.add(step.key)
         if task.failures:
             state.unjudged_steps.add(step.key)
         task.checkpoint = task_record.checkpoint
@@ -230,4 +230,14 @@
             task.phase = model.Phase.DONE
 
 
+def _restore_crashes(state: State, step: StepRun, task: Task, record: TaskRecord) -> None:
+    task.crashes, task.fatal_starts = record.crashes, record.fatal_starts
+    task.confirmed_crashes = record.confirmed_crashes
+    task.unsure_crashes = record.unsure_crashes
+    for worker in task.unsure_crashes:
+        state.lapsed_tasks.setdefault(worker, []).append(task)
+    if task.fatal_starts:
+        state.suspect_steps.add(step.key)
+
+
 __all__ = ["JobRecord", "StepRecord", "TaskRecord", "encode", "restore"]
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -260,7 +260,7 @@
         self.unjudged_steps: set[model.StepKey] = set()
         self.suspect_steps: set[model.StepKey] = set()
         self.lost_workers: list[losses.LostWorker] = []
-        self.lapsed_tasks: dict[ids.WorkerId, list[tuple[Task, bool]]] = {}
+        self.lapsed_tasks: dict[ids.WorkerId, list[Task]] = {}
         self.considered_job: ids.JobId | None = None
         self.dirty_jobs: set[ids.JobId] = set()
         self.retired_jobs: list[Job] = []
--- a/src/bronzequay/core/tasks.py
+++ b/src/bronzequay/core/tasks.py
@@ -28,6 +28,7 @@
     :ivar crashes: workers that crashed while the task was on them, or may have
     :ivar confirmed_crashes: those that have certainly crashed and had acknowledged the run
     :ivar fatal_starts: those that crashed as the task started; 0 once a worker has survived a start
+    :ivar unsure_crashes: those that may only be unreachable, and whether each is a fatal start
     :ivar progressed_s: when the progress of the current run last increased
     :ivar started_s: when the start of the current run was ordered; the beginning of the term if an
         earlier term ordered it
@@ -57,6 +58,7 @@
         "service",
         "speed_percent",
         "started_s",
+        "unsure_crashes",
         "worker",
     )
 
@@ -70,6 +72,7 @@
         self.failures = 0
         self.crashes = self.confirmed_crashes = 0
         self.fatal_starts = 0
+        self.unsure_crashes: dict[ids.WorkerId, bool] = {}
         self.is_confirmed = self.is_answered = self.is_settled = False
         self.is_whole = False
         self.expected_s = 0.0
--- a/tests/control/test_elsewhere.py
+++ b/tests/control/test_elsewhere.py
@@ -167,10 +167,14 @@
     assert machines.max_down == 1
 
 
+@pytest.mark.parametrize("is_late", [False, True])
 async def test_workers_that_a_term_could_not_reach_have_not_crashed(
-    autojump_clock: MockClock, site: Site
+    autojump_clock: MockClock, site: Site, is_late: bool
 ) -> None:
-    """Guards against a sound job that fails because its workers were cut off at takeovers."""
+    """Guards against a sound job that fails because its workers were cut off at takeovers.
+
+    Late ones return only in the next term.
+    """
     lives = [site.add_executor(number) for number in range(1, 6)]
     for life in lives:
         life.beats = True
@@ -178,6 +182,7 @@
     await site.wait_until(site.leader)
     job = site.submit(plan=tasks.Plan(run_s=RUN_S))
     names = ["b", "a"]
+    away: list[executors.Executor] = []
     for round_number in range(5):
         await site.wait_until(lambda: any(life.runs for life in lives))
         await trio.sleep(2.0)
@@ -191,7 +196,9 @@
         with trio.move_on_after(60.0):
             while len(site.events("start")) == count and site.state(job) != "failed":
                 await trio.sleep(0.1)
-        rejoin(site, busy)
+        away.append(busy)
+        if not is_late or len(away) == 2:
+            rejoin(site, away.pop(0))
         await trio.sleep(4.0)
     assert site.state(job) == "running"
 
