Only workers that have just answered get calls that extend leases

Cause: after a call without an answer the next renewals, for 3 s, still carried deadlines by the clock of the incarnation that had answered last. The one that found the next incarnation left it a lease of 10 s, which is how the reported runs came to outlive what the scheduler believed. Contact was measured by a clock that stands still while the machine is suspended: a scheduler that resumed renewed leases by clocks that it had read before.

Change: a renewal is sent only right after an answer; after a call without one the next call only asks for the listing.

--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -76,15 +76,22 @@
 
     def may_start(self, worker: ids.WorkerId) -> bool:
         """Return whether a worker is listed and not draining by its latest entry."""
+        current = self._session_of(worker)
+        return current is not None and current.is_listed and not current.entry.is_draining
+
+    def may_extend_leases(self, worker: ids.WorkerId) -> bool:
+        """Return whether calls that extend a worker's run leases may be sent to it."""
+        current = self._session_of(worker)
+        return current is not None and current.may_extend_leases
+
+    def _session_of(self, worker: ids.WorkerId) -> session.Session | None:
         current = self._sessions.get(executor_entries.executor_of(worker))
-        if current is None or current.worker != worker:
-            return False
-        return current.is_listed and not current.entry.is_draining
+        return current if current is not None and current.worker == worker else None
 
     def dispatch(self, command: model.Command) -> None:
         """Pass an order to its worker's session; drop it if that incarnation has ended."""
-        current = self._sessions.get(executor_entries.executor_of(command.worker))
-        if current is not None and current.worker == command.worker:
+        current = self._session_of(command.worker)
+        if current is not None:
             current.delivery.enqueue(command)
 
     async def run(self) -> None:
--- a/src/bronzequay/control/run_lease.py
+++ b/src/bronzequay/control/run_lease.py
@@ -75,10 +75,14 @@
         """Return whether the worker's clock has been read."""
         return self._clock_ms is not None
 
+    def clock_age_s(self) -> float:
+        """Return the time since the worker's clock was read, infinity before."""
+        return float("inf") if self._clock_ms is None else clock.boot_s() - self._read_s
+
     def clock_ms(self) -> float:
         """Return the present time on the worker's clock if it runs at the rate of ours."""
         assert self._clock_ms is not None  # noqa: S101  # set by the first listing
-        return self._clock_ms + (clock.boot_s() - self._read_s) * 1000
+        return self._clock_ms + self.clock_age_s() * 1000
 
     def read_clock(self, clock_ms: float) -> None:
         """Note the worker's clock in an answer that has just arrived."""
@@ -129,8 +133,7 @@
         """Return whether the lease has certainly expired; False while the clock is unknown."""
         if self._clock_ms is None:
             return False
-        passed_s = (clock.boot_s() - self._read_s) * MIN_CLOCK_RATE
-        return self._clock_ms + passed_s * 1000 > self._end_ms
+        return self._clock_ms + self.clock_age_s() * MIN_CLOCK_RATE * 1000 > self._end_ms
 
     def describe(self) -> dict[str, object]:
         """Return what the log states of the lease; times are on the worker's clock."""
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -109,8 +109,16 @@
 
     @property
     def is_in_contact(self) -> bool:
-        """Return whether the worker has recently accepted a call of this term."""
-        return trio.current_time() - self._answered_s < run_lease.CONTACT_S
+        """Return whether the worker has recently accepted a call of this session."""
+        return self._lease.clock_age_s() < run_lease.CONTACT_S
+
+    @property
+    def may_extend_leases(self) -> bool:
+        """Return whether calls that extend leases may be sent.
+
+        After a call without an answer a later incarnation may receive the next one.
+        """
+        return self.is_in_contact and not self._is_unanswered
 
     @property
     def stated_s(self) -> float:
@@ -208,8 +216,7 @@
                 return await self._read_listing()
             async with self._term.roster.first_listings:
                 return await self._read_listing()
-        # A worker out of contact gets no renewal, so that its leases can expire.
-        deadline_ms = self._lease.end_if_granted_now_ms() if self.is_in_contact else None
+        deadline_ms = self._lease.end_if_granted_now_ms() if self.may_extend_leases else None
         self._was_renewed = deadline_ms is not None
         if deadline_ms is not None:
             self._lease.on_send(deadline_ms)
