A lapse that is applied late does not end the runs of a worker that answers

A worker that lapsed and answered again while nothing could be journaled got no work for the rest of the term: its new listing was applied with an older one, before the lapse, which then marked it unready for good.

Change: a lapse is dropped if the worker has listed its runs since.

--- a/src/bronzequay/control/listings.py
+++ b/src/bronzequay/control/listings.py
@@ -4,12 +4,21 @@
 
 from typing import TYPE_CHECKING
 
-from bronzequay.core import departures, health, lifecycle, losses, pacing
+import structlog
+
+from bronzequay.core import departures, health, lifecycle, losses, model, pacing
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Set as AbstractSet
+
     from bronzequay.core.state import State, Worker
     from bronzequay.platform import workers
 
+    Run = tuple[model.TaskKey, int]
+
+_log = structlog.get_logger()
+
 
 def apply(state: State, worker: Worker, listing: workers.Listing) -> None:
     """Apply the ends and the progress of runs, and decide what follows on their worker."""
@@ -33,4 +42,22 @@
         task.checkpoint = run.checkpoint or task.checkpoint
 
 
-__all__ = ["apply"]
+def end_missing_runs(
+    state: State,
+    worker: Worker,
+    listed: AbstractSet[Run],
+    is_settled: Callable[[Run], bool],
+) -> None:
+    """End runs placed on a worker that its listing does not show.
+
+    :param is_settled: whether the last order for a run has taken effect in the listing
+    """
+    for task in list(worker.tasks.values()):
+        run = (task.key, task.run)
+        if is_settled(run) and run not in listed:
+            name = worker.spec.worker
+            _log.info("run_not_there", worker=name, task=task.key, run=task.run)
+            lifecycle.end_run(state, name, task.key, task.run, model.End.NEVER_RAN)
+
+
+__all__ = ["apply", "end_missing_runs"]
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -290,6 +290,9 @@
             worker.is_silent = True
 
     def _end_lapsed_runs(self, state: State) -> None:
+        # A listing that has arrived since may have been applied before.
+        if self._has_listing:
+            return
         worker = state.workers.get(self.worker)
         if worker is not None:
             loss = losses.Loss.LEFT if self.entry.is_draining else losses.Loss.LAPSED
@@ -367,7 +370,13 @@
         listed = {(run.key, run.run) for run in listing.running}
         is_complete = len(listing.ended) < MAX_LISTED_ENDS
         if is_complete:
-            self._reconcile(state, worker, listed, sent_s, is_first=is_first)
+            # Orders that were answered before the listing was requested have taken effect in it.
+            listings.end_missing_runs(
+                state,
+                worker,
+                listed,
+                lambda run: is_first or self.delivery.answered_s(*run) < sent_s,
+            )
         self.delivery.retain_answers({(key, task.run) for key, task in worker.tasks.items()})
         worker.stray_runs &= listed
         lifecycle.stop_stray_runs(state, worker, listed)
@@ -380,21 +389,5 @@
                 if task.phase is model.Phase.STOPPING:
                     state.commands.append(model.Stop(self.worker, task.key, task.run))
 
-    def _reconcile(
-        self,
-        state: State,
-        worker: Worker,
-        listed: set[tuple[model.TaskKey, int]],
-        sent_s: float,
-        *,
-        is_first: bool,
-    ) -> None:
-        """End runs that a listing requested after the answer to their last order does not show."""
-        for task in list(worker.tasks.values()):
-            is_settled = is_first or self.delivery.answered_s(task.key, task.run) < sent_s
-            if is_settled and (task.key, task.run) not in listed:
-                _log.info("run_not_there", worker=self.worker, task=task.key, run=task.run)
-                lifecycle.end_run(state, self.worker, task.key, task.run, model.End.NEVER_RAN)
-
 
 __all__ = ["Ending", "Session"]
