--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -381,6 +381,7 @@
         worker.stray_runs &= listed
         lifecycle.stop_stray_runs(state, worker, listed)
         if is_first:
+            self._kept = {}
             self._unanswered |= late_starts.of_orphans(state, self.worker)
         late_starts.apply_listing(state, self._unanswered, listing, is_complete=is_complete)
         if is_first:
