Soak: workers restart under their ids and are cut off, with clocks of their own

A restarted worker's entry was deleted, calls in flight were lost, all clocks began at 0 at the exact rate, and nothing coupled a restart with a change of scheduler and a cut.

Change: soak/recuts.py adds the kind workers_recut, drawn apart; a share of the jobs is long; the stand-in executors' clocks have a start and a rate.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -30,6 +30,9 @@
 CHECKPOINT_SHARE = 0.4
 CANCEL_SHARE = 0.1
 CRASH_SHARE = 0.06
+LONG_SHARE = 0.15
+LONG_RUN_S = (12.0, 16.0)
+"""Shortest and longest run of a long task; both outlast the longest lease."""
 MAX_CRASHING_STARTS = 5
 """Starts of a task that crashes its workers: three, and two more after the third crash."""
 CANCEL_SHARE_PER_POLL = 0.4
@@ -76,6 +79,7 @@
         self._site = site
         self._rng = random.Random(seed)
         self._crash_rng = random.Random(f"crashes {seed}")
+        self._long_rng = random.Random(f"long {seed}")
         self._crash_share = CRASH_SHARE if has_hazards else 0.0
         self.crashing_jobs: set[str] = set()
         self._clients = {
@@ -97,10 +101,10 @@
             await trio.sleep(self._rng.expovariate(per_s))
             nursery.start_soon(self.run_job, self.draw_job())
 
-    def draw_job(self, *, may_crash: bool = True) -> Job:
+    def draw_job(self, *, is_plain: bool = False) -> Job:
         """Draw a job.
 
-        :param may_crash: whether its tasks may crash their workers
+        :param is_plain: whether its tasks are short and crash no worker
         """
         rng = self._rng
         count = rng.choice([1, 1, 2, 3, 5])
@@ -111,13 +115,16 @@
             # A gang that the fleet cannot hold would wait for ever.
             count = min(count, self._site.worker_count * (harness.WORKER_GPUS // gpu))
         saves = rng.random() < CHECKPOINT_SHARE
+        if not is_plain and self._long_rng.random() < LONG_SHARE:
+            # Small, so that the fleet has room for the other tasks.
+            run_s, gpu, is_gang = self._long_rng.uniform(*LONG_RUN_S), 1, False
         plan = tasks.Plan(
             run_s=run_s,
             gang=count if is_gang else 0,
             fails=rng.choice([0, 0, 0, 0, 1]),
             saves=saves,
             gpu=gpu,
-            crashes_after_s=0.0 if may_crash and self._draws_crash() else None,
+            crashes_after_s=0.0 if not is_plain and self._draws_crash() else None,
         )
         step = {
             "count": count,
--- a/soak/harness.py
+++ b/soak/harness.py
@@ -10,11 +10,13 @@
 import socket
 from typing import TYPE_CHECKING
 
+import msgspec
 import trio
 
+from bronzequay.control import keys, lease
 from bronzequay.fakes import executors, kv
 from bronzequay.net import server
-from soak import configurations, evacuations, intrusions, invariants, links, plan
+from soak import configurations, evacuations, intrusions, invariants, links, plan, recuts
 from soak.instances import SHUTDOWN_GRACE_S, Instance
 
 if TYPE_CHECKING:
@@ -77,6 +79,7 @@
     :ivar versions: when each version was written
     :ivar injected: number of faults by kind
     :ivar unexpected_exits: descriptions of processes that ended by themselves
+    :ivar recuts_until_s: time until which the restarts of workers under their ids may last
     :ivar faults_until_s: planned end of the fault injected last, or the end of an earlier fault
         if that ended later
     """
@@ -95,14 +98,14 @@
         self._has_hazards = has_hazards
         self._ports = free_ports()
         self.kv = kv.Kv(nursery.start_soon, seed=seed)
-        self.world = executors.World(self.kv)
+        self.world = recuts.World(self.kv, seed)
         self.run_checker = invariants.RunChecker(self.world)
         self.evacuation_checker = evacuations.EvacuationChecker(self.world)
         self.version = 0
         self.versions = configurations.Versions()
         self.injected: collections.Counter[str] = collections.Counter()
         self.unexpected_exits: list[str] = []
-        self.faults_until_s = trio.current_time()
+        self.faults_until_s = self.recuts_until_s = trio.current_time()
         self._store_port = next(self._ports)
         self._worker_links: dict[str, links.Link] = {}
         self._worker_scopes: dict[str, trio.CancelScope] = {}
@@ -149,8 +152,6 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         async def handle(req: server.Request) -> server.Response:
-            if not executor.is_up:
-                await trio.sleep_forever()
             # A call sees the state as of now; ``World.run`` advances it only every 20 ms.
             for other in self.world.executors.values():
                 if other.is_up:
@@ -188,15 +189,18 @@
         if fault.kind in plan.EVACUATIONS:
             await evacuations.inject(self, fault)
             return
+        if fault.kind in plan.RECUTS:
+            await recuts.inject(self, fault)
+            return
         executor, tail_s = evacuations.disturbance_of(self, fault)
         with self.evacuation_checker.disturbance(executor, tail_s):
             await self._inject(fault)
 
     async def _inject(self, fault: Fault) -> None:
-        self.faults_until_s = trio.current_time() + fault.duration_s
+        self.faults_until_s = max(trio.current_time() + fault.duration_s, self.recuts_until_s)
         instance = self.instances[fault.selector % len(self.instances)]
         process_faults = {
-            plan.Kind.KILL: self._kill,
+            plan.Kind.KILL: self.kill,
             plan.Kind.KILL_ALL: self._kill_all,
             plan.Kind.PAUSE: self._pause,
             plan.Kind.TERM: self._terminate,
@@ -224,11 +228,19 @@
     async def _inject_store_fault(self, fault: Fault) -> None:
         if fault.kind is plan.Kind.STORE_DEAF:
             self.versions.unwatchable_s = trio.current_time() + fault.duration_s
-        self._mark_all_disturbed()
+        self.mark_all_disturbed()
         self.kv.faults = _STORE_FAULTS[fault.kind]
         await trio.sleep(fault.duration_s)
         self.kv.faults = kv.Faults()
-        self._mark_all_disturbed()
+        self.mark_all_disturbed()
+
+    def leader(self) -> Instance | None:
+        """Return the instance that the store holds for the scheduler."""
+        value = self.kv.get(keys.LEADER)
+        if value is None:
+            return None
+        name = msgspec.msgpack.decode(value, type=lease.LeaderRecord).instance
+        return next((other for other in self.instances if other.name == name), None)
 
     def worker_link(self, name: str) -> links.Link:
         """Return the link to a worker."""
@@ -243,7 +255,8 @@
             self.unexpected_exits.append(f"{instance.name} ended by itself")
             instance.start()
 
-    def _mark_all_disturbed(self) -> None:
+    def mark_all_disturbed(self) -> None:
+        """Note that a fault affects all instances now."""
         for instance in self.instances:
             instance.disturbed_s = trio.current_time()
 
@@ -254,7 +267,7 @@
             plan.Target.CALLERS: instance.callers,
             plan.Target.WORKER: self._worker_links[names[fault.selector % len(names)]],
         }[fault.target]
-        self._mark_all_disturbed()
+        self.mark_all_disturbed()
         if fault.kind is plan.Kind.LINK_RESET:
             link.reset()
         elif fault.kind is plan.Kind.LINK_SILENT:
@@ -270,7 +283,7 @@
             link.cut = one_direction if is_one_way else {"up", "down"}
         await trio.sleep(fault.duration_s)
         link.heal()
-        self._mark_all_disturbed()
+        self.mark_all_disturbed()
 
     async def _inject_worker_fault(self, fault: Fault) -> None:
         names = sorted(self.world.executors)
@@ -322,7 +335,8 @@
         executor.is_stalled = executor.fails_all_runs = False
         executor.unanswered_calls.clear()
 
-    async def _kill(self, instance: Instance, fault: Fault) -> None:
+    async def kill(self, instance: Instance, fault: Fault) -> None:
+        """Kill an instance and start it again."""
         instance.disturbed_s = trio.current_time()
         instance.send_signal(signal.SIGKILL)
         await instance.wait_exited(SHUTDOWN_GRACE_S)
@@ -334,7 +348,7 @@
     async def _kill_all(self, _instance: Instance, fault: Fault) -> None:
         async with trio.open_nursery() as nursery:
             for instance in self.instances:
-                nursery.start_soon(self._kill, instance, fault)
+                nursery.start_soon(self.kill, instance, fault)
 
     async def _pause(self, instance: Instance, fault: Fault) -> None:
         instance.disturbed_s = trio.current_time() + fault.duration_s
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -49,6 +49,7 @@
     HOSTILE_CLIENTS = "hostile_clients"
     CONFIGURATION_GROWS = "configuration_grows"
     STORE_LINK_SLOW = "store_link_slow"
+    WORKERS_RECUT = "workers_recut"
 
 
 class Target(enum.Enum):
@@ -83,6 +84,8 @@
 """Kinds that ``intrusions`` carries out too, drawn apart from these likewise."""
 GROWTHS = frozenset({Kind.CONFIGURATION_GROWS, Kind.STORE_LINK_SLOW})
 """Kinds that ``configurations`` carries out, drawn apart likewise."""
+RECUTS = frozenset({Kind.WORKERS_RECUT})
+"""Kinds that ``recuts`` carries out, drawn apart likewise."""
 REPEAT_SHARE = 0.25
 """Share of faults that repeat the kind of the fault before."""
 
@@ -109,7 +112,7 @@
     :param per_s: mean number of faults per second
     """
     rng = random.Random(seed)
-    drawn_apart = HAZARDS | INTRUSIONS | EVACUATIONS | CROWDS | GROWTHS
+    drawn_apart = HAZARDS | INTRUSIONS | EVACUATIONS | CROWDS | GROWTHS | RECUTS
     kinds = [kind for kind in Kind if kind not in drawn_apart]
     weights = [WEIGHTS.get(kind, 1.0) for kind in kinds]
     faults: list[Fault] = []
@@ -175,6 +178,15 @@
     return _draw(random.Random(f"growths {seed}"), GROWTHS, seconds, per_s=per_s)
 
 
+def draw_recuts(seed: int, seconds: float, *, per_s: float) -> list[Fault]:
+    """Draw the faults of the kinds in ``RECUTS``, ordered by time.
+
+    :param seconds: length of the fault phase, in seconds
+    :param per_s: mean number of faults per second
+    """
+    return _draw(random.Random(f"recuts {seed}"), RECUTS, seconds, per_s=per_s)
+
+
 def _draw(
     rng: random.Random, group: AbstractSet[Kind], seconds: float, *, per_s: float
 ) -> list[Fault]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -22,6 +22,7 @@
 EVACUATIONS_PER_S = 0.06
 CROWDS_PER_S = 0.15
 GROWTHS_PER_S = 0.25
+RECUTS_PER_S = 0.12
 JOBS_PER_S = 2.5
 CHECK_INTERVAL_S = 0.25
 RECOVERY_TIMEOUT_S = 12.0
@@ -101,7 +102,7 @@
     traffic = callers.Callers(site, seed, has_hazards=has_hazards)
     checker = _Checker(site, traffic)
     nursery.start_soon(checker.run)
-    first_job = traffic.draw_job(may_crash=False)
+    first_job = traffic.draw_job(is_plain=True)
     nursery.start_soon(traffic.submit_until_accepted, first_job)
     await _wait_until(lambda: first_job.state in callers.FINAL_STATES, START_TIMEOUT_S)
     nursery.start_soon(traffic.run, nursery, JOBS_PER_S)
@@ -113,6 +114,7 @@
         faults += plan.draw_evacuations(seed, seconds, per_s=EVACUATIONS_PER_S)
         faults += plan.draw_crowds(seed, seconds, per_s=CROWDS_PER_S)
         faults += plan.draw_growths(seed, seconds, per_s=GROWTHS_PER_S)
+        faults += plan.draw_recuts(seed, seconds, per_s=RECUTS_PER_S)
         if has_hazards:
             faults += plan.draw_hazards(seed, seconds, per_s=HAZARDS_PER_S)
         for fault in sorted(faults, key=lambda fault: fault.at_s):
@@ -120,7 +122,7 @@
             fault_nursery.start_soon(site.inject, fault)
     ended_s = trio.current_time()
     traffic.is_submitting = False
-    probe_job = traffic.draw_job(may_crash=False)
+    probe_job = traffic.draw_job(is_plain=True)
     nursery.start_soon(traffic.submit_until_accepted, probe_job)
     has_recovered = await _wait_until(lambda: probe_job.state == "completed", RECOVERY_TIMEOUT_S)
     recovered_s = trio.current_time() - ended_s if has_recovered else None
--- a/src/bronzequay/fakes/executors.py
+++ b/src/bronzequay/fakes/executors.py
@@ -30,10 +30,12 @@
     :param store: store in which the executors are listed
     :ivar log: time, event, executor, task and run number of each start and end
     :ivar tickets: valid tickets by step and executor, None if starts need none
+    :ivar executor_type: what makes the executors that are added
     """
 
     def __init__(self, store: kv.Kv) -> None:
         self.store = store
+        self.executor_type: Callable[..., Executor] = Executor
         self.executors: dict[str, Executor] = {}
         self.log: list[tuple[float, str, str, str, int]] = []
         self.tickets: dict[tuple[str, str], str] | None = None
@@ -55,7 +57,7 @@
 
     def add(self, name: str, address: str, **options: Any) -> Executor:
         """Add an executor and list it in the store."""
-        executor = Executor(self, name, address, **options)
+        executor = self.executor_type(self, name, address, **options)
         self.executors[name] = executor
         executor.list_entry()
         return executor
@@ -102,6 +104,8 @@
     :ivar cold_until_s: until when its entry states that it is cold; the speed of its runs stays
     :ivar beats: whether it writes its entry, with its clock, every ``BEAT_S`` and not on changes
     :ivar keeps_id: whether it restarts under its id after a task has crashed it
+    :ivar clock_start_ms: value of its clock at the start of the incarnation
+    :ivar clock_rate: rate of its clock
     :ivar barred_runs: highest run number by task that may no longer start
     :ivar void_ends: numbers of ends that were unacknowledged when the lease lapsed
     """
@@ -135,6 +139,7 @@
         self.state = "ready"
         self.is_stalled = self.fails_all_runs = self.beats = self.keeps_id = False
         self.next_beat_s = 0.0
+        self.clock_start_ms, self.clock_rate = 0.0, 1.0
         self.born_ms = 0
         self.boot()
 
@@ -152,7 +157,7 @@
         self.void_ends: set[int] = set()
         self.changed = trio.Event()
 
-    def crash(self) -> None:
+    def crash(self, *, keeps_entry: bool = False) -> None:
         """End the incarnation without notice; the other members of its gangs end as broken."""
         lost, self.runs = self.runs, {}
         self.is_up = False
@@ -160,7 +165,8 @@
             self.world.record_event("gone", self.name, run.task, run.run)
             for executor, member in self.world.members(run.task, run.run) if run.plan.gang else ():
                 executor.end(member, "broken")
-        self.world.store.delete(f"servers/{self.name}")
+        if not keeps_entry:
+            self.world.store.delete(f"servers/{self.name}")
 
     def list_entry(self) -> None:
         """Write the executor's entry to the store."""
@@ -192,8 +198,8 @@
 
     @property
     def clock_ms(self) -> float:
-        """Return the time since the start of the incarnation, in milliseconds."""
-        return (trio.current_time() - self.born_s) * 1000
+        """Return the time on the incarnation's own clock, in milliseconds."""
+        return self.clock_start_ms + (trio.current_time() - self.born_s) * 1000 * self.clock_rate
 
     def advance(self) -> None:
         """Start complete gangs; end runs that lapsed, stopped, completed or waited too long."""
@@ -365,14 +371,8 @@
     def _list_runs(self) -> server.Response:
         now_s = trio.current_time()
         running = [
-            [
-                run.task,
-                run.run,
-                run.checkpoint(now_s),
-                self._progress_percent(run, now_s),
-                round(self.tail_ms(run)),
-            ]
-            for run in self.runs.values()
+            [run.task, run.run, run.checkpoint(now_s), run.progress_percent(now_s), round(tail_ms)]
+            for run, tail_ms in ((run, self.tail_ms(run)) for run in self.runs.values())
         ]
         body = {
             "clockMs": int(self.clock_ms),
@@ -382,13 +382,6 @@
         }
         return server.Response(200, msgspec.json.encode(body))
 
-    def _progress_percent(self, run: tasks.Run, now_s: float) -> int:
-        if run.started_s is None:
-            return 0
-        if run.plan.lasts:
-            return 100
-        return min(99, int(100 * run.done_s(now_s) / run.plan.run_s))
-
     def _ok(self) -> server.Response:
         return server.Response(200, msgspec.json.encode({"clockMs": int(self.clock_ms)}))
 
--- a/src/bronzequay/fakes/tasks.py
+++ b/src/bronzequay/fakes/tasks.py
@@ -60,5 +60,13 @@
         saved_s = done_s if is_stop else done_s // CHECKPOINT_INTERVAL_S * CHECKPOINT_INTERVAL_S
         return f"{int(saved_s * 1000):08x}" if self.plan.saves and saved_s > 0 else ""
 
+    def progress_percent(self, now_s: float) -> int:
+        """Return the share of the work that is done, in percent; 100 for a task that lasts."""
+        if self.started_s is None:
+            return 0
+        if self.plan.lasts:
+            return 100
+        return min(99, int(100 * self.done_s(now_s) / self.plan.run_s))
+
 
 __all__ = ["Plan", "Run"]
