Soak: the scheduler is also replaced by SIGTERM between restart and cut

Cause: a killed scheduler is replaced 2 s later, mostly after the cut, so that the fresh term had not reached the workers.

--- a/soak/harness.py
+++ b/soak/harness.py
@@ -203,7 +203,7 @@
             plan.Kind.KILL: self.kill,
             plan.Kind.KILL_ALL: self._kill_all,
             plan.Kind.PAUSE: self._pause,
-            plan.Kind.TERM: self._terminate,
+            plan.Kind.TERM: self.terminate,
         }
         if fault.kind in process_faults:
             await process_faults[fault.kind](instance, fault)
@@ -357,7 +357,8 @@
         instance.send_signal(signal.SIGCONT)
         instance.disturbed_s = trio.current_time()
 
-    async def _terminate(self, instance: Instance, _fault: Fault) -> None:
+    async def terminate(self, instance: Instance, _fault: Fault) -> None:
+        """Shut an instance down gracefully and start it again."""
         instance.sigterm_s = trio.current_time()
         instance.send_signal(signal.SIGTERM)
         await instance.wait_exited(SHUTDOWN_GRACE_S)
--- a/soak/recuts.py
+++ b/soak/recuts.py
@@ -26,10 +26,11 @@
 LATE_SHARE = 0.5
 LISTED_S = 1.2
 """Longest time until a worker that has restarted writes its entry."""
-CUT_AFTER_S = (1.5, 3.0)
-"""Time from the restart to the cut, which the takeover of a killed scheduler may outlast or not."""
+CUT_AFTER_S = (1.5, 3.5)
+"""Time from the restart to the cut; the takeover from a killed scheduler ends before it or not."""
 CUT_S = (6.0, 10.0)
-KILL_SHARE = 0.5
+REPLACED_SHARE = 0.5
+"""Share of the faults in which the scheduler is replaced between the crash and the cut."""
 MAX_S = IN_FLIGHT_S + DOWN_S + CUT_AFTER_S[1] + CUT_S[1]
 MAX_CLOCK_START_MS = 120_000.0
 MIN_CLOCK_RATE = 0.98
@@ -85,7 +86,7 @@
 
 
 async def inject(site: Harness, fault: Fault) -> None:
-    """Restart a share of the workers and cut them off; kill the scheduler in between, or not."""
+    """Restart a share of the workers and cut them off; replace the scheduler in between, or not."""
     rng = random.Random(fault.selector)
     everyone = [other for other in site.world.executors.values() if isinstance(other, Executor)]
     idle = [
@@ -103,18 +104,20 @@
     if count <= 0:
         return
     site.faults_until_s = site.recuts_until_s = trio.current_time() + MAX_S
-    cut_at_s = trio.current_time() + IN_FLIGHT_S + DOWN_S + rng.uniform(*CUT_AFTER_S)
+    crash_at_s = trio.current_time() + IN_FLIGHT_S
+    cut_at_s = crash_at_s + DOWN_S + rng.uniform(*CUT_AFTER_S)
     cut_s = rng.uniform(*CUT_S)
     with contextlib.ExitStack() as stack:
         async with trio.open_nursery() as nursery:
             for executor in rng.sample(idle, count):
                 stack.enter_context(site.evacuation_checker.disturbance(executor.name, 1.0))
                 nursery.start_soon(_recut, site, executor, cut_at_s, cut_s)
-            if rng.random() < KILL_SHARE:
-                await trio.sleep_until(rng.uniform(cut_at_s - CUT_AFTER_S[0], cut_at_s))
+            if rng.random() < REPLACED_SHARE:
+                await trio.sleep_until(rng.uniform(crash_at_s, cut_at_s))
                 leader = site.leader()
                 if leader is not None and leader.is_running:
-                    nursery.start_soon(site.kill, leader, fault)
+                    # SIGTERM hands over at once, SIGKILL only when the lease has expired.
+                    nursery.start_soon(rng.choice([site.kill, site.terminate]), leader, fault)
 
 
 async def _recut(site: Harness, executor: Executor, cut_at_s: float, cut_s: float) -> None:
