--- a/soak/callers.py
+++ b/soak/callers.py
@@ -30,7 +30,7 @@
 CHECKPOINT_SHARE = 0.4
 CANCEL_SHARE = 0.1
 CRASH_SHARE = 0.06
-LONG_SHARE = 0.15
+LONG_SHARE = 0.25
 LONG_RUN_S = (12.0, 16.0)
 """Shortest and longest run of a long task; both outlast the longest lease."""
 MAX_CRASHING_STARTS = 5
@@ -118,6 +118,7 @@
         if not is_plain and self._long_rng.random() < LONG_SHARE:
             # Small, so that the fleet has room for the other tasks.
             run_s, gpu, is_gang = self._long_rng.uniform(*LONG_RUN_S), 1, False
+            count = min(count, 2)
         plan = tasks.Plan(
             run_s=run_s,
             gang=count if is_gang else 0,
--- a/soak/recuts.py
+++ b/soak/recuts.py
@@ -51,6 +51,7 @@
 class Executor(executors.Executor):
     """An executor that can leave calls to its next life.
 
+    :ivar is_recut: whether it is being restarted and cut off
     :ivar held_calls: calls that the next life carries out, each with the time when; None while
         calls are carried out as they arrive
     """
@@ -59,14 +60,15 @@
 
     def __init__(self, world: World, name: str, address: str, **options: Any) -> None:
         self.held_calls: list[tuple[server.Request, float]] | None = None
+        self.is_recut = False
         super().__init__(world, name, address, **options)
 
     def boot(self) -> None:
         """Start a new incarnation with a clock of its own."""
-        super().boot()
         rng = self.world.clock_rng
         self.clock_start_ms = rng.uniform(0.0, MAX_CLOCK_START_MS)
         self.clock_rate = rng.uniform(MIN_CLOCK_RATE, 1.0)
+        super().boot()
 
     async def handle(self, req: server.Request) -> server.Response:
         """Answer a call, or keep it for the next life."""
@@ -94,13 +96,13 @@
         for executor in everyone
         if executor.is_up
         and executor.state == "ready"
-        and executor.held_calls is None
+        and not executor.is_recut
         # A call that a cut has held back for long must not be held back again.
         and not site.worker_link(executor.name).cut
     ]
-    cut_count = sum(bool(site.worker_link(executor.name).cut) for executor in everyone)
+    recut_count = sum(executor.is_recut for executor in everyone)
     wanted = max(1, int(len(everyone) * rng.uniform(MIN_SHARE, MAX_SHARE)))
-    count = min(wanted, (len(everyone) - 1) // 2 - cut_count, len(idle))
+    count = min(wanted, (len(everyone) - 1) // 2 - recut_count, len(idle))
     if count <= 0:
         return
     site.faults_until_s = site.recuts_until_s = trio.current_time() + MAX_S
@@ -111,6 +113,7 @@
         async with trio.open_nursery() as nursery:
             for executor in rng.sample(idle, count):
                 stack.enter_context(site.evacuation_checker.disturbance(executor.name, 1.0))
+                executor.is_recut = True
                 nursery.start_soon(_recut, site, executor, cut_at_s, cut_s)
             if rng.random() < REPLACED_SHARE:
                 await trio.sleep_until(rng.uniform(crash_at_s, cut_at_s))
@@ -141,6 +144,7 @@
         link.cut = {"up", "down"}
         await trio.sleep(cut_s)
         link.heal()
+        executor.is_recut = False
         site.mark_all_disturbed()
 
 
