--- a/src/bronzequay/fakes/executors.py
+++ b/src/bronzequay/fakes/executors.py
@@ -103,9 +103,9 @@
     :ivar fails_all_runs: whether every run that completes is reported as failed
     :ivar cold_until_s: until when its entry states that it is cold; the speed of its runs stays
     :ivar beats: whether it writes its entry, with its clock, every ``BEAT_S`` and not on changes
+    :ivar clock_start_ms: what the clock of its next life begins at
+    :ivar clock_rate: rate of that clock, below 1 for a slow one
     :ivar keeps_id: whether it restarts under its id after a task has crashed it
-    :ivar clock_start_ms: value of its clock at the start of the incarnation
-    :ivar clock_rate: rate of its clock
     :ivar barred_runs: highest run number by task that may no longer start
     :ivar void_ends: numbers of ends that were unacknowledged when the lease lapsed
     """
@@ -132,28 +132,24 @@
         self.zone, self.cold_until_s = zone, 0.0
         self.capacity = {"cpu": cpu, "memMb": mem_mb, "gpu": gpu}
         self.unanswered_calls: dict[str, int] = {}
-        self.late_effect_s = 0.0
-        self.late_effect_survives_restart = False
+        self.late_effect_s, self.late_effect_survives_restart = 0.0, False
+        self.clock_start_ms, self.clock_rate = 0.0, 1.0
         self.spawn: Callable[..., None] | None = None
         self.starts_to_refuse = 0
         self.state = "ready"
         self.is_stalled = self.fails_all_runs = self.beats = self.keeps_id = False
-        self.next_beat_s = 0.0
-        self.clock_start_ms, self.clock_rate = 0.0, 1.0
-        self.born_ms = 0
+        self.next_beat_s, self.born_ms = 0.0, 0
         self.boot()
 
     def boot(self) -> None:
         """Start a new incarnation with empty state."""
         self.born_ms = max(self.born_ms + 1, int(trio.current_time() * 1000) + 1)
-        self.born_s = trio.current_time()
+        self._clock = (trio.current_time(), self.clock_start_ms, self.clock_rate)
         self.is_up = True
-        self.epoch = 0
-        self.deadline_ms = 0.0
+        self.epoch, self.last_end, self.deadline_ms = 0, 0, 0.0
         self.runs: dict[str, tasks.Run] = {}
         self.barred_runs: dict[str, int] = {}
         self.ended: list[list[Any]] = []
-        self.last_end = 0
         self.void_ends: set[int] = set()
         self.changed = trio.Event()
 
@@ -198,8 +194,9 @@
 
     @property
     def clock_ms(self) -> float:
-        """Return the time on the incarnation's own clock, in milliseconds."""
-        return self.clock_start_ms + (trio.current_time() - self.born_s) * 1000 * self.clock_rate
+        """Return the incarnation's clock, in milliseconds."""
+        born_s, start_ms, rate = self._clock
+        return start_ms + (trio.current_time() - born_s) * rate * 1000
 
     def advance(self) -> None:
         """Start complete gangs; end runs that lapsed, stopped, completed or waited too long."""
