--- a/soak/recuts.py
+++ b/soak/recuts.py
@@ -26,7 +26,7 @@
 LATE_SHARE = 0.5
 LISTED_S = 1.2
 """Longest time until a worker that has restarted writes its entry."""
-CUT_AFTER_S = (1.5, 3.5)
+CUT_AFTER_S = (1.5, 4.0)
 """Time from the restart to the cut; the takeover from a killed scheduler ends before it or not."""
 CUT_S = (6.0, 10.0)
 REPLACED_SHARE = 0.5
@@ -116,7 +116,9 @@
                 executor.is_recut = True
                 nursery.start_soon(_recut, site, executor, cut_at_s, cut_s)
             if rng.random() < REPLACED_SHARE:
-                await trio.sleep_until(rng.uniform(crash_at_s, cut_at_s))
+                await trio.sleep_until(
+                    rng.uniform(crash_at_s, crash_at_s + DOWN_S + CUT_AFTER_S[0])
+                )
                 leader = site.leader()
                 if leader is not None and leader.is_running:
                     # SIGTERM hands over at once, SIGKILL only when the lease has expired.
