--- a/soak/callers.py
+++ b/soak/callers.py
@@ -118,7 +118,6 @@
         if not is_plain and self._long_rng.random() < LONG_SHARE:
             # Small, so that the fleet has room for the other tasks.
             run_s, gpu, is_gang = self._long_rng.uniform(*LONG_RUN_S), 1, False
-            count = min(count, 2)
         plan = tasks.Plan(
             run_s=run_s,
             gang=count if is_gang else 0,
