--- a/soak/seeds.py
+++ b/soak/seeds.py
@@ -23,9 +23,20 @@
     Regression(
         4,
         25.0,
-        "a start was accepted by the next incarnation of its worker before that one was known",
+        "a start was accepted by the next incarnation of its worker before that one was known;"
+        " the end of such a run was acknowledged, and the next scheduler took the run as lost",
     ),
     Regression(208, 25.0, "a start in flight at the end of an incarnation reached the next one"),
+    Regression(
+        1505,
+        25.0,
+        "a late renewal for an earlier life acknowledged ends that no listing had shown",
+    ),
+    Regression(
+        1524,
+        25.0,
+        "a late renewal for an earlier life acknowledged ends that no listing had shown",
+    ),
     Regression(
         406, 20.0, "the members of a gang crashed one worker each, six in a row", has_hazards=True
     ),
