--- a/src/bronzequay/fakes/executors.py
+++ b/src/bronzequay/fakes/executors.py
@@ -30,10 +30,12 @@
     :param store: store in which the executors are listed
     :ivar log: time, event, executor, task and run number of each start and end
     :ivar tickets: valid tickets by step and executor, None if starts need none
+    :ivar executor_type: what makes the executors that are added
     """
 
     def __init__(self, store: kv.Kv) -> None:
         self.store = store
+        self.executor_type: Callable[..., Executor] = Executor
         self.executors: dict[str, Executor] = {}
         self.log: list[tuple[float, str, str, str, int]] = []
         self.tickets: dict[tuple[str, str], str] | None = None
@@ -55,7 +57,7 @@
 
     def add(self, name: str, address: str, **options: Any) -> Executor:
         """Add an executor and list it in the store."""
-        executor = Executor(self, name, address, **options)
+        executor = self.executor_type(self, name, address, **options)
         self.executors[name] = executor
         executor.list_entry()
         return executor
@@ -151,7 +153,7 @@
         self.void_ends: set[int] = set()
         self.changed = trio.Event()
 
-    def crash(self) -> None:
+    def crash(self, *, keeps_entry: bool = False) -> None:
         """End the incarnation without notice; the other members of its gangs end as broken."""
         lost, self.runs = self.runs, {}
         self.is_up = False
@@ -159,7 +161,8 @@
             self.world.record_event("gone", self.name, run.task, run.run)
             for executor, member in self.world.members(run.task, run.run) if run.plan.gang else ():
                 executor.end(member, "broken")
-        self.world.store.delete(f"servers/{self.name}")
+        if not keeps_entry:
+            self.world.store.delete(f"servers/{self.name}")
 
     def list_entry(self) -> None:
         """Write the executor's entry to the store."""
@@ -369,7 +372,7 @@
                 run.task,
                 run.run,
                 run.checkpoint(now_s),
-                self._progress_percent(run, now_s),
+                run.progress_percent(now_s),
                 round(self.tail_ms(run)),
             ]
             for run in self.runs.values()
@@ -382,13 +385,6 @@
         }
         return server.Response(200, msgspec.json.encode(body))
 
-    def _progress_percent(self, run: tasks.Run, now_s: float) -> int:
-        if run.started_s is None:
-            return 0
-        if run.plan.lasts:
-            return 100
-        return min(99, int(100 * run.done_s(now_s) / run.plan.run_s))
-
     def _ok(self) -> server.Response:
         return server.Response(200, msgspec.json.encode({"clockMs": int(self.clock_ms)}))
 
