A run that a later life lists ends only by its listings

Runs of unanswered starts were ended 25 s after their life, whatever the next one listed: if the stop of such a run waited for the store, the session went on renewing its lease, and the task was started a second time beside it. Runs that earlier terms had left were ended by time likewise, and their loss was counted at each first listing of the next life, so that a sound job could be given up. A run that a lapse had kept waited twice, up to 54 s.

Change: what a later life has listed belongs to its session alone; runs of earlier terms are taken over once. Waiting counts from when the life was over, or its leases had expired.

--- a/src/bronzequay/control/late_starts.py
+++ b/src/bronzequay/control/late_starts.py
@@ -24,10 +24,12 @@
 
     :param starts: unanswered starts
     :param latest_deadline_ms: latest deadline of their run leases, each on its own clock
+    :param over_s: boot clock when the last of them was known to be over, or its leases expired
     """
 
     starts: tuple[model.Start, ...] = ()
     latest_deadline_ms: float = 0.0
+    over_s: float = float("-inf")
 
 
 def by_run(starts: Iterable[model.Start]) -> LateStarts:
@@ -41,14 +43,15 @@
 
 
 def of_orphans(state: State, worker: ids.WorkerId) -> LateStarts:
-    """Return the starts of the runs that earlier terms left on earlier incarnations of a worker.
+    """Take over the runs that earlier terms left on earlier incarnations of a worker.
 
-    Records their loss, which is certain once the worker has answered.
+    Their loss is certain once the worker has answered. From then on its listings end them.
     """
     starts: LateStarts = {}
     executor = executor_entries.executor_of(worker)
-    for name, tasks in list(state.orphaned_tasks.items()):
+    for name in list(state.orphaned_tasks):
         if name != worker and executor_entries.executor_of(name) == executor:
+            tasks = state.orphaned_tasks.pop(name)
             starts |= of_tasks(name, tasks.values())
             losses.record_absent(state, name, list(tasks.values()))
     return starts
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -9,7 +9,7 @@
 import structlog
 import trio
 
-from bronzequay import figures
+from bronzequay import clock, figures
 from bronzequay.control import freshness, late_starts, prefix, run_lease, session
 from bronzequay.core import lifecycle, losses, model, resize, rollout, settling
 from bronzequay.platform import executor_entries, workers
@@ -160,6 +160,9 @@
         if current is None:
             self._open_session(entry)
             return
+        if entry.rev < current.entry.rev:
+            # A watch may begin before the last page of the snapshot.
+            return
         if current.worker != entry.spec.worker:
             self._on_successor(current, entry)
             return
@@ -211,7 +214,8 @@
 
         Ends without that once the session is over or the entry is replaced.
         """
-        client = workers.OrderClient(entry.executor, entry.address, self._term.epoch)
+        fence = entry.fence(self._term.epoch)
+        client = workers.OrderClient(entry.executor, entry.address, fence)
         try:
             while self._successors.get(entry.executor) is entry:
                 reply = await client.hold(
@@ -275,16 +279,22 @@
             loss = losses.Loss.LEFT if ended.entry.is_draining else losses.Loss.CRASHED
         self._term.post(lambda state: _remove_worker(state, ended.worker, unanswered, loss))
         if unanswered:
-            self._nursery.start_soon(self._end_unanswered, replaced.starts)
+            self._nursery.start_soon(self._end_unanswered, executor, replaced)
         successor = self._successors.pop(executor, None)
         if successor is not None:
             self._open_session(successor)
 
-    async def _end_unanswered(self, starts: tuple[model.Start, ...]) -> None:
+    async def _end_unanswered(
+        self, executor: ids.ExecutorId, replaced: late_starts.Replaced
+    ) -> None:
         """End runs that no later incarnation has answered for, once none can run any more."""
-        await trio.sleep(run_lease.late_run_s(self._term.max_run_lease_s))
-        for start in starts:
-            self._term.post(functools.partial(late_starts.end_as_lost, start=start))
+        late_run_s = run_lease.late_run_s(self._term.max_run_lease_s)
+        await trio.sleep(max(0.0, replaced.over_s + late_run_s - clock.boot_s()))
+        for start in replaced.starts:
+            current = self._sessions.get(executor)
+            # A session that lists the run renews its lease until the run has been stopped.
+            if current is None or not current.has_late_run(start):
+                self._term.post(functools.partial(late_starts.end_as_lost, start=start))
 
 
 def _add_worker(state: State, entry: executor_entries.ExecutorEntry) -> None:
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -8,7 +8,7 @@
 import structlog
 import trio
 
-from bronzequay import clock, errors, figures, ids
+from bronzequay import clock, errors, figures
 from bronzequay.control import delivery, late_starts, listings, run_lease
 from bronzequay.core import lifecycle, losses, model, pacing, settling
 from bronzequay.platform import executor_entries, workers
@@ -65,7 +65,6 @@
 
     :param entry: the executor's entry in the store
     :param term: the term that the session belongs to
-    :param barred: unanswered starts sent to an earlier incarnation under the same id
     :param replaced: what this term has sent to earlier incarnations under the same id
     :ivar is_listed: whether the store still lists the executor
     """
@@ -82,15 +81,12 @@
         self.service = entry.spec.service
         self.is_listed = True
         self._lease = run_lease.RunLease(term.max_run_lease_s, replaced.latest_deadline_ms)
-        # Above that of the sessions with earlier incarnations, whose calls the worker then refuses,
-        # and below the next term's: the entry was read while the leader lease was held.
-        fence = ids.Epoch(max(term.epoch, entry.rev))
         self.delivery = delivery.Delivery(
             entry,
             term,
             deadline_ms=self._start_deadline_ms,
             clock_ms=self._lease.clock_ms,
-            fence=fence,
+            fence=entry.fence(term.epoch),
         )
         self._unanswered = late_starts.by_run(replaced.starts)
         self._term = term
@@ -156,7 +152,12 @@
             | self._unanswered
             | self._kept
         )
-        return late_starts.Replaced(tuple(starts.values()), self._lease.latest_deadline_ms)
+        over_s = self._lapsed_s if self._is_lost else clock.boot_s()
+        return late_starts.Replaced(tuple(starts.values()), self._lease.latest_deadline_ms, over_s)
+
+    def has_late_run(self, start: model.Start) -> bool:
+        """Return whether this incarnation has listed the run of a start to an earlier one."""
+        return self._has_listing and (start.key, start.run) in self._unanswered
 
     async def _renew_leases(self) -> None:
         """Renew the run leases until the incarnation is over.
@@ -306,7 +307,7 @@
         These are the runs of unanswered starts. An earlier term's starts may have gone unanswered
         too, if the record of the run does not say otherwise.
         """
-        self._kept = late_starts.by_run(self.delivery.unanswered_starts())
+        self._kept = self._unanswered | late_starts.by_run(self.delivery.unanswered_starts())
         if self._lease.is_clock_known or self._term.earlier_leases.have_expired(
             self.service, is_settled=False
         ):
--- a/src/bronzequay/platform/executor_entries.py
+++ b/src/bronzequay/platform/executor_entries.py
@@ -44,6 +44,14 @@
     invalid_fields: tuple[str, ...] = ()
     rev: ids.Revision = kv.ABSENT
 
+    def fence(self, epoch: ids.Epoch) -> ids.Epoch:
+        """Return the epoch that a term's orders to this incarnation carry.
+
+        It is above that of orders to earlier incarnations, which this one then refuses. It is below
+        the next term's epoch if the entry was read while the leader lease was held.
+        """
+        return ids.Epoch(max(epoch, self.rev))
+
 
 class _Capacity(msgspec.Struct, rename="camel"):
     cpu: codec.Count
