Ends are acknowledged once, and only right after an answer

Cause: each call repeated the number of the last end that had been read. End numbers begin anew with each life, so that a next life which carried out such a call forgot ends that nobody had read; the tasks counted as never started and ran again.

Change: a number is sent until one call with it has been answered, and not with the call after one without an answer, which may reach the next life. What is left is a call that acknowledges new ends and is in flight as the worker restarts, if no term reaches the next life before it ends a run.

--- a/src/bronzequay/control/listings.py
+++ b/src/bronzequay/control/listings.py
@@ -20,6 +20,36 @@
 _log = structlog.get_logger()
 
 
+class Acknowledgements:
+    """Ends of runs that a worker lists until they are acknowledged, by their numbers.
+
+    The numbers begin anew with each incarnation. So each is sent once, and only right after an
+    answer: a later incarnation that carries out the call forgets ends that nobody has read.
+    """
+
+    def __init__(self) -> None:
+        self._durable = 0
+        self._sent = 0
+        self._forgotten = 0
+
+    def on_durable(self, ends: tuple[workers.EndedRun, ...]) -> None:
+        """Note ends that have been journaled."""
+        self._durable = max(end.number for end in ends)
+
+    def next_number(self, *, has_answered: bool) -> int:
+        """Return the number to send with the next call, 0 if there is nothing to acknowledge.
+
+        :param has_answered: whether the last call was answered
+        """
+        is_due = has_answered and self._durable > self._forgotten
+        self._sent = self._durable if is_due else 0
+        return self._sent
+
+    def on_answer(self) -> None:
+        """Note that the last call has been answered."""
+        self._forgotten = max(self._forgotten, self._sent)
+
+
 def apply(state: State, worker: Worker, listing: workers.Listing) -> None:
     """Apply the ends and the progress of runs, and decide what follows on their worker."""
     name = worker.spec.worker
@@ -60,4 +90,4 @@
             lifecycle.end_run(state, name, task.key, task.run, model.End.NEVER_RAN)
 
 
-__all__ = ["apply", "end_missing_runs"]
+__all__ = ["Acknowledgements", "apply", "end_missing_runs"]
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -167,7 +167,7 @@
             self._on_successor(current, entry)
             return
         self._successors.pop(entry.executor, None)
-        if not current.accepts(entry):
+        if not current.entry.can_precede(entry):
             _log.warning("worker_entry_contradicts", worker=current.worker, address=entry.address)
             self._on_unlisted(entry.executor)
             return
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -91,7 +91,7 @@
         self._unanswered = late_starts.by_run(replaced.starts)
         self._term = term
         self._scope = trio.CancelScope()
-        self._acked_end = 0
+        self._acks = listings.Acknowledgements()
         self._was_renewed = False
         self._has_listing = False
         self._is_lost = False
@@ -123,17 +123,6 @@
             return float("inf")
         return trio.current_time() - (self._lease.clock_ms() - self.entry.clock_ms) / 1000
 
-    def accepts(self, entry: executor_entries.ExecutorEntry) -> bool:
-        """Return whether an entry can be of this incarnation: it keeps its place and service."""
-        spec, own = entry.spec, self.entry.spec
-        return (entry.address, spec.service, spec.machine, spec.labels, spec.data_centre) == (
-            self.entry.address,
-            own.service,
-            own.machine,
-            own.labels,
-            own.data_centre,
-        )
-
     async def run(self) -> None:
         """Renew the run leases until the incarnation ends or the session is closed."""
         with self._scope:
@@ -224,7 +213,7 @@
         reply: workers.Reply | None = None
         try:
             reply = await client.hold(
-                last_seen_end=self._acked_end,
+                last_seen_end=self._acks.next_number(has_answered=self.may_extend_leases),
                 deadline_ms=deadline_ms,
                 wait_s=self._listing_wait_s(),
                 timeout_s=CALL_TIMEOUT_S,
@@ -237,7 +226,10 @@
 
     async def _read_listing(self) -> workers.Reply:
         return await self.delivery.client.hold(
-            last_seen_end=0, deadline_ms=None, wait_s=0.0, timeout_s=CALL_TIMEOUT_S
+            last_seen_end=self._acks.next_number(has_answered=False),
+            deadline_ms=None,
+            wait_s=0.0,
+            timeout_s=CALL_TIMEOUT_S,
         )
 
     def _listing_wait_s(self) -> float:
@@ -327,6 +319,7 @@
 
     async def _on_listing(self, listing: workers.Listing, sent_s: float) -> None:
         self._lease.read_clock(listing.clock_ms)
+        self._acks.on_answer()
         self._answered_s = trio.current_time()
         is_first = not self._has_listing
         if is_first:
@@ -342,7 +335,7 @@
             with trio.move_on_after(DURABLE_WAIT_S) as scope:
                 await durable.wait()
             if not scope.cancelled_caught and listing.ended:
-                self._acked_end = max(end.number for end in listing.ended)
+                self._acks.on_durable(listing.ended)
 
     def _post(self, listing: workers.Listing, sent_s: float, *, is_first: bool) -> trio.Event:
         """Have the newest listing applied; it contains all that a pending older one reports."""
--- a/src/bronzequay/platform/executor_entries.py
+++ b/src/bronzequay/platform/executor_entries.py
@@ -44,6 +44,17 @@
     invalid_fields: tuple[str, ...] = ()
     rev: ids.Revision = kv.ABSENT
 
+    def can_precede(self, entry: ExecutorEntry) -> bool:
+        """Return whether an entry can be of the same incarnation: it keeps place and service."""
+        spec, own = entry.spec, self.spec
+        return (entry.address, spec.service, spec.machine, spec.labels, spec.data_centre) == (
+            self.address,
+            own.service,
+            own.machine,
+            own.labels,
+            own.data_centre,
+        )
+
     def fence(self, epoch: ids.Epoch) -> ids.Epoch:
         """Return the epoch that a term's orders to this incarnation carry.
 
