Failing tests: listed runs and ends of earlier starts that are passed over

The session with a former life acknowledges the next one's ends by the former one's numbers, in the very call that finds it. The first answer of a life may list an older run of a task, as running or as done: the task is started elsewhere all the same, in the same pass. No change of logic. The second test leaves out the check that run numbers rise, since an executor that begins an older run late does not break TWICE by its number.

--- a/tests/control/test_later_ends.py
+++ b/tests/control/test_later_ends.py
@@ -8,6 +8,7 @@
 import trio
 
 from bronzequay.fakes import tasks
+from soak import invariants
 from tests.control import test_leases
 
 if TYPE_CHECKING:
@@ -92,3 +93,77 @@
         await test_leases.take_over(site)
     await site.wait_for(job, "completed", timeout_s=40.0)
     site.check_runs()
+
+
+@pytest.mark.parametrize("late_s", [0.0, 2.5])
+async def test_a_call_of_the_former_session_acknowledges_no_end_of_the_next_life(
+    autojump_clock: MockClock, site: Site, late_s: float
+) -> None:
+    """Guards against a second run of a task that the next life has run before its first listing.
+
+    :param late_s: delay of a renewal sent to the former life; 0 for the call that finds the next
+    """
+    executor = site.add_executor(1)
+    executor.beats = True
+    site.start_scheduler("a")
+    await site.wait_until(site.leader)
+    for _ in range(3):
+        await site.wait_for(site.submit(plan=tasks.Plan(run_s=0.3)), "completed")
+    await trio.sleep(3.0)
+    if late_s:
+        executor.unanswered_calls["/hold"] = 1
+        executor.late_effect_s, executor.late_effect_survives_restart = late_s, True
+    await site.wait_until(lambda: not executor.unanswered_calls.get("/hold"))
+    executor.beats = False
+    former = executor.entry(born_ms=executor.born_ms)
+    executor.clock_start_ms = executor.clock_ms
+    site.crash(executor)
+    site.reboot(executor)
+    site.kv.put(f"servers/{executor.name}", former)
+    job = site.submit(plan=tasks.Plan(run_s=0.3))
+    await site.wait_until(lambda: len(site.events("done")) == 4)
+    if late_s:
+        # The renewal takes effect before the session reaches the next life again.
+        test_leases.cut(site, executor)
+    await trio.sleep(late_s + 0.5)
+    site.network.cut.clear()
+    executor.list_entry()
+    executor.beats = True
+    await site.wait_for(job, "completed", timeout_s=20.0)
+    site.check_runs()
+
+
+@pytest.mark.parametrize("run_s", [40.0, 3.0])
+async def test_a_listed_run_of_an_earlier_start_is_not_passed_over(
+    autojump_clock: MockClock, site: Site, run_s: float
+) -> None:
+    """Guards against a second run beside, or after, one by a start that an earlier life had barred.
+
+    The first answer of the life that carries out the start shows the run, as running or as done.
+    """
+    executor = site.add_executor(1)
+    executor.beats = True
+    site.start_scheduler("a")
+    await site.wait_until(site.leader)
+    await trio.sleep(20.0)
+    executor.unanswered_calls["/run-start"] = 1
+    executor.late_effect_s, executor.late_effect_survives_restart = 5.0, True
+    site.submit(plan=tasks.Plan(run_s=run_s))
+    await site.wait_until(lambda: not executor.unanswered_calls["/run-start"], timeout_s=3.0)
+    lost_s = trio.current_time()
+    site.crash(executor)
+    site.reboot(executor)
+    await site.wait_until(lambda: site.events("start"), timeout_s=4.0)
+    site.add_executor(2).beats = True
+    await trio.sleep_until(lost_s + 4.0)
+    site.crash(executor)
+    site.reboot(executor)
+    test_leases.cut(site, executor)
+    await trio.sleep_until(lost_s + 9.0)
+    assert [run for _, run in site.events("start")] == [2, 1]
+    site.network.cut.clear()
+    executor.beats = True
+    await trio.sleep(6.0)
+    # The number of a run that an executor begins late is not the scheduler's choice.
+    breaches = invariants.RunChecker(site.world).check()
+    assert [breach for breach in breaches if not breach.startswith("run number")] == []
