Listed runs of earlier starts hold their task and count as its ends

The first answer of a next life may list an older run of a task than its last, of a start that an earlier life had left unanswered. As running it was stopped, while the task started elsewhere in the same pass; its end as done was acknowledged and thrown away, and the task ran again.

Change: a task does not start while a run of it is being stopped; a run of any number that the next life shows keeps the task until that life's listing shows it no more, and an end as done is the task's.

--- a/src/bronzequay/control/late_starts.py
+++ b/src/bronzequay/control/late_starts.py
@@ -4,11 +4,12 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from bronzequay.core import lifecycle, losses, model
+from bronzequay.core import lifecycle, losses, model, settling
 from bronzequay.platform import executor_entries
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Set as AbstractSet
 
     from bronzequay import ids
     from bronzequay.core.state import State
@@ -42,6 +43,21 @@
     return by_run(model.Start(worker, task.key, task.run, task.checkpoint) for task in tasks)
 
 
+def uncertain(
+    state: State, worker_id: ids.WorkerId, shown: AbstractSet[model.TaskKey]
+) -> LateStarts:
+    """Return the starts of a worker's runs that a later incarnation may have carried out.
+
+    :param shown: tasks of which that one has shown a run
+    """
+    worker = state.workers.get(worker_id)
+    tasks = () if worker is None else worker.tasks.values()
+    return of_tasks(
+        worker_id,
+        (task for task in tasks if task.key in shown or not settling.is_certainly_here(task)),
+    )
+
+
 def of_orphans(state: State, worker: ids.WorkerId) -> LateStarts:
     """Take over the runs that earlier terms left on earlier incarnations of a worker.
 
@@ -63,21 +79,24 @@
     """End the runs of starts that a later incarnation has not carried out, or has ended.
 
     Its first answer to a session fences the starts, so that each listing shows which of them have
-    taken effect. A run that is listed as running is stopped as a stray run.
+    taken effect. A run that is listed as running is stopped as a stray run. Any run of a task
+    counts, since an earlier one than the last may have been started late: while it runs the task
+    does not start again, and its end as done is the task's.
 
     :param starts: starts to earlier incarnations; those whose runs end are removed
     :param is_complete: whether the listing shows all ends
     """
     for ended in listing.ended:
-        start = starts.pop((ended.key, ended.run), None)
-        if start is not None:
-            lifecycle.end_run(
-                state, start.worker, start.key, start.run, ended.end, ended.checkpoint
-            )
+        for start in [start for start in starts.values() if start.key == ended.key]:
+            if start.run == ended.run or ended.end is model.End.DONE:
+                del starts[start.key, start.run]
+                lifecycle.end_run(
+                    state, start.worker, start.key, start.run, ended.end, ended.checkpoint
+                )
     if is_complete:
-        running = {(run.key, run.run) for run in listing.running}
-        for run in starts.keys() - running:
-            end_as_lost(state, starts.pop(run))
+        running = {run.key for run in listing.running}
+        for start in [start for start in starts.values() if start.key not in running]:
+            end_as_lost(state, starts.pop((start.key, start.run)))
 
 
 def end_as_lost(state: State, start: model.Start) -> None:
@@ -93,4 +112,5 @@
     "end_as_lost",
     "of_orphans",
     "of_tasks",
+    "uncertain",
 ]
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -96,6 +96,7 @@
         self._has_listing = False
         self._is_lost = False
         self._is_unanswered = False
+        self._shown: set[model.TaskKey] = set()
         self._kept: late_starts.LateStarts = {}
         self._lapsed_s = 0.0
         self._answered_s = float("-inf")
@@ -137,7 +138,7 @@
         self._scope.cancel()
         starts = (
             late_starts.by_run(self.delivery.unanswered_starts())
-            | self._term.uncertain_starts(self.worker)
+            | self._term.uncertain_starts(self.worker, self._shown)
             | self._unanswered
             | self._kept
         )
@@ -187,6 +188,7 @@
                 was_renewed=self._was_renewed,
                 **self._lease.describe(),
             )
+            self._shown = reply.listing.tasks()
             self._term.roster.end_session(self, Ending.RESTARTED)
             return True
         is_over = self._on_no_answer()
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -28,6 +28,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
+    from collections.abc import Set as AbstractSet
 
     from bronzequay import ids
     from bronzequay.control.lease import LeaderLease
@@ -164,12 +165,11 @@
         """Return whether calls of earlier terms can no longer extend a worker's leases."""
         return self.earlier_leases.are_settled(service) or settling.is_settled(self._state, worker)
 
-    def uncertain_starts(self, worker_id: ids.WorkerId) -> late_starts.LateStarts:
+    def uncertain_starts(
+        self, worker: ids.WorkerId, shown: AbstractSet[model.TaskKey]
+    ) -> late_starts.LateStarts:
         """Return the starts of a worker's runs that a later incarnation may have carried out."""
-        worker = self._state.workers.get(worker_id)
-        tasks = () if worker is None else worker.tasks.values()
-        uncertain = (task for task in tasks if not settling.is_certainly_here(task))
-        return late_starts.of_tasks(worker_id, uncertain)
+        return late_starts.uncertain(self._state, worker, shown)
 
     def post(self, change: StateChange) -> trio.Event:
         """Queue a change of the core's state.
--- a/src/bronzequay/core/schedule.py
+++ b/src/bronzequay/core/schedule.py
@@ -61,10 +61,14 @@
     being_freed = {key for key, held in reservations.items() if held.is_preempting}
     view = fleet_view.FleetView(state, guaranteed, being_freed)
     costs = stop_costs.pass_costs(state, guaranteed)
+    strays = {key for worker in state.workers.values() for key, _ in worker.stray_runs}
     for key in sorted(
         ranks, key=lambda key: (_turn(reservations.get(key), ranks[key][0]), ranks[key])
     ):
         step = state.open_steps[key]
+        if strays and any(task.key in strays for task in step.waiting_tasks):
+            # An earlier run of one of its tasks is being stopped.
+            continue
         state.considered_job = key.job
         placement = place.find_placement(state, step, view)
         if placement:
--- a/src/bronzequay/platform/workers.py
+++ b/src/bronzequay/platform/workers.py
@@ -95,6 +95,10 @@
     running: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
 
+    def tasks(self) -> set[model.TaskKey]:
+        """Return the tasks of which it shows a run."""
+        return {run.key for run in self.running} | {run.key for run in self.ended}
+
 
 class Reply(msgspec.Struct, frozen=True):
     """Outcome of an order.
