The entry of a next life ends a call that its crash left pending

Cause: a call that was pending as its worker crashed was waited for until its time-out, up to 2.2 s, although the store listed the next life. For that time the next life was not fenced, and carried out what was meant for the earlier one; its tasks waited too.

Change: an entry of another life at the same address gives the pending call up. The next one only asks for the listing. Whether the life is over is still for the executor to answer.

--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -204,7 +204,9 @@
         self._successors[executor] = entry
         self._on_unlisted(executor)
         is_same_machine = entry.spec.machine == current.machine
-        if is_same_machine and entry.address != current.entry.address:
+        if entry.address == current.entry.address:
+            current.call_again()
+        elif is_same_machine:
             self._nursery.start_soon(self._find_successor, current, entry)
 
     async def _find_successor(
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -91,6 +91,7 @@
         self._unanswered = late_starts.by_run(replaced.starts)
         self._term = term
         self._scope = trio.CancelScope()
+        self._call = trio.CancelScope()
         self._acks = listings.Acknowledgements()
         self._was_renewed = False
         self._has_listing = False
@@ -133,6 +134,10 @@
                 await self._renew_leases()
                 nursery.cancel_scope.cancel()
 
+    def call_again(self) -> None:
+        """Give up the pending call, which a crash may have left without an answer."""
+        self._call.cancel()
+
     def close(self) -> late_starts.Replaced:
         """End the session; return what a later incarnation may carry out."""
         self._scope.cancel()
@@ -173,7 +178,9 @@
             await trio.sleep(RETRY_S)
             return False
         sent_s = trio.current_time()
-        reply = await self._hold()
+        reply = workers.Reply(workers.Outcome.UNKNOWN)
+        with trio.CancelScope() as self._call:
+            reply = await self._hold()
         if reply.listing is not None and self._is_same_incarnation(reply.listing):
             await self._on_listing(reply.listing, sent_s)
             return False
--- a/tests/control/test_lives.py
+++ b/tests/control/test_lives.py
@@ -268,3 +268,14 @@
     while site.state(job) != "completed":
         assert len(executor.runs) <= 8
         await trio.sleep(0.05)
+
+
+async def test_the_entry_of_a_next_life_ends_a_call_that_its_crash_left_pending(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against a next life that carries out earlier calls until one of them times out."""
+    _, executor = await run_one(site)
+    site.crash(executor)
+    site.reboot(executor)
+    await site.wait_until(lambda: len(site.events("start")) == 2, timeout_s=0.8)
+    site.check_runs()
