--- a/src/bronzequay/control/listings.py
+++ b/src/bronzequay/control/listings.py
@@ -76,15 +76,15 @@
     state: State,
     worker: Worker,
     listed: AbstractSet[Run],
-    is_settled: Callable[[Run], bool],
+    is_in_effect: Callable[[Run], bool],
 ) -> None:
     """End runs placed on a worker that its listing does not show.
 
-    :param is_settled: whether the last order for a run has taken effect in the listing
+    :param is_in_effect: whether the last order for a run has taken effect in the listing
     """
     for task in list(worker.tasks.values()):
         run = (task.key, task.run)
-        if is_settled(run) and run not in listed:
+        if is_in_effect(run) and run not in listed:
             name = worker.spec.worker
             _log.info("run_not_there", worker=name, task=task.key, run=task.run)
             lifecycle.end_run(state, name, task.key, task.run, model.End.NEVER_RAN)
--- a/src/bronzequay/control/run_lease.py
+++ b/src/bronzequay/control/run_lease.py
@@ -67,7 +67,7 @@
         self._clock_ms: float | None = None
         self._read_s = 0.0
         self._end_ms = 0.0
-        self._foreign_end_ms = 0.0
+        self._earlier_end_ms = 0.0
         self._basis = Basis.NONE
 
     @property
@@ -115,18 +115,18 @@
         """
         assert self._clock_ms is not None  # noqa: S101  # set by the first listing
         longest_end_ms = self._clock_ms + self._max_lease_s * 1000
-        self._count_foreign(
+        self._count_earlier(
             min(self.latest_deadline_ms, longest_end_ms) if is_settled else longest_end_ms
         )
         self.extend(self._clock_ms + RUN_LEASE_S / MIN_CLOCK_RATE * 1000, Basis.EARLIER_TERM)
 
-    def _count_foreign(self, end_ms: float) -> None:
-        self._foreign_end_ms = max(self._foreign_end_ms, end_ms)
+    def _count_earlier(self, end_ms: float) -> None:
+        self._earlier_end_ms = max(self._earlier_end_ms, end_ms)
         self.extend(end_ms, Basis.EARLIER_LIFE)
 
     def is_settled(self) -> bool:
         """Return whether a lease granted now outlasts those by earlier incarnations' clocks."""
-        latest_ms = self._foreign_end_ms - RUN_LEASE_S * 1000
+        latest_ms = self._earlier_end_ms - RUN_LEASE_S * 1000
         return self._clock_ms is not None and self._clock_ms >= latest_ms
 
     def has_expired(self) -> bool:
@@ -161,7 +161,7 @@
         self._max_lease_s = max_lease_s
         self._majority_s: dict[ids.ServiceId, float] = {}
 
-    def unfenced(self, services: AbstractSet[ids.ServiceId]) -> AbstractSet[ids.ServiceId]:
+    def without_majority(self, services: AbstractSet[ids.ServiceId]) -> AbstractSet[ids.ServiceId]:
         """Return the services of which this term has not reached more than half of the workers."""
         return services - self._majority_s.keys()
 
@@ -175,15 +175,15 @@
         :param is_settled: whether no call to an earlier incarnation can extend them any more
         """
         unsettled_s = CONTACT_S + late_run_s(self._max_lease_s)
-        return self._fenced_for_s(service) > (SETTLED_EXPIRY_S if is_settled else unsettled_s)
+        return self._majority_age_s(service) > (SETTLED_EXPIRY_S if is_settled else unsettled_s)
 
     def are_settled(self, service: ids.ServiceId) -> bool:
         """Return whether calls of earlier terms can no longer extend leases, by their age alone."""
         lease_s = (self._max_lease_s - RUN_LEASE_S) / MIN_CLOCK_RATE
         settled_s = CONTACT_S + MAX_ORDER_DELAY_S + lease_s
-        return not self.were_granted or self._fenced_for_s(service) > settled_s
+        return not self.were_granted or self._majority_age_s(service) > settled_s
 
-    def _fenced_for_s(self, service: ids.ServiceId) -> float:
+    def _majority_age_s(self, service: ids.ServiceId) -> float:
         return clock.boot_s() - self._majority_s.get(service, float("inf"))
 
 
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -95,8 +95,7 @@
         self._acks = listings.Acknowledgements()
         self._was_renewed = False
         self._has_listing = False
-        self._is_lost = False
-        self._is_unanswered = False
+        self._is_lost = self._is_unanswered = False
         self._shown: set[model.TaskKey] = set()
         self._kept: late_starts.LateStarts = {}
         self._lapsed_s = 0.0
@@ -215,14 +214,15 @@
                 return await self._read_listing()
             async with self._term.roster.first_listings:
                 return await self._read_listing()
-        deadline_ms = self._lease.end_if_granted_now_ms() if self.may_extend_leases else None
-        self._was_renewed = deadline_ms is not None
+        # Numbers and times of this incarnation must not reach the next one.
+        has_answered = self._was_renewed = self.may_extend_leases
+        deadline_ms = self._lease.end_if_granted_now_ms() if has_answered else None
         if deadline_ms is not None:
             self._lease.on_send(deadline_ms)
         reply: workers.Reply | None = None
         try:
             reply = await client.hold(
-                last_seen_end=self._acks.next_number(has_answered=self.may_extend_leases),
+                last_seen_end=self._acks.next_number(has_answered=has_answered),
                 deadline_ms=deadline_ms,
                 wait_s=self._listing_wait_s(),
                 timeout_s=CALL_TIMEOUT_S,
@@ -269,7 +269,8 @@
         failed_s = trio.current_time()
         self._term.post(lambda state: self._mark_silent(state, failed_s))
         if self._is_lost:
-            self._term.post(self._end_kept_runs)
+            if self._kept:
+                self._term.post(self._end_kept_runs)
             return not self.is_listed and self._end()
         if not self._are_leases_expired():
             return False
@@ -292,7 +293,7 @@
             worker.is_silent = True
 
     def _end_lapsed_runs(self, state: State) -> None:
-        # A listing that has arrived since may have been applied before.
+        # A listing that has arrived since may have been applied already.
         if self._has_listing:
             return
         worker = state.workers.get(self.worker)
@@ -333,7 +334,6 @@
         is_first = not self._has_listing
         if is_first:
             self._term.roster.on_first_listing(self)
-        if is_first:
             is_settled = self._term.is_settled(self.worker, self.service)
             self._lease.count_earlier_calls(is_settled=is_settled)
             event = "worker_regained" if self._is_lost else "worker_reached"
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -365,7 +365,7 @@
         """End the runs on workers that the store does not list once their leases have expired."""
         orphaned_tasks = self._state.orphaned_tasks
         services = {task.service for tasks in orphaned_tasks.values() for task in tasks.values()}
-        for service in self.earlier_leases.unfenced(services | self.roster.services()):
+        for service in self.earlier_leases.without_majority(services | self.roster.services()):
             if self.roster.reaches_majority(service):
                 self.earlier_leases.on_majority(service)
         for worker in list(orphaned_tasks):
--- a/src/bronzequay/core/lifecycle.py
+++ b/src/bronzequay/core/lifecycle.py
@@ -339,7 +339,7 @@
 ) -> None:
     """Remove an incarnation of a worker that has ended, and end its runs.
 
-    :param excluded_runs: runs that the next incarnation has to bar before they are ended
+    :param excluded_runs: runs that end once the next incarnation has answered
     """
     end_lost_runs(state, worker, excluded_runs)
     state.workers.pop(worker, None)
