Starts go to any worker in contact, also after a call without an answer

Suspected cause: a scheduler that is short of processor time has many calls without an answer, and each held back the starts to its worker.

Change: starts wait only while a worker is out of contact, for which the bounds on leases allow. Renewals and acknowledgements still follow answers only. Answered runs are looked for only among those that are not.

--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -188,7 +188,7 @@
         why = self._term.evacuations.reason_to_withhold(self._data_centre)
         if why is None and not self._term.roster.may_start(self._worker):
             why = "leaving"
-        if why is None and not self._term.roster.may_extend_leases(self._worker):
+        if why is None and not self._term.roster.is_in_contact(self._worker):
             why = "silent"
         if why is None:
             return False
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -79,10 +79,10 @@
         current = self._session_of(worker)
         return current is not None and current.is_listed and not current.entry.is_draining
 
-    def may_extend_leases(self, worker: ids.WorkerId) -> bool:
-        """Return whether calls that extend a worker's run leases may be sent to it."""
+    def is_in_contact(self, worker: ids.WorkerId) -> bool:
+        """Return whether a worker has recently answered a call of its session."""
         current = self._session_of(worker)
-        return current is not None and current.may_extend_leases
+        return current is not None and current.is_in_contact
 
     def _session_of(self, worker: ids.WorkerId) -> session.Session | None:
         current = self._sessions.get(executor_entries.executor_of(worker))
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -110,8 +110,8 @@
         return self._lease.clock_age_s() < run_lease.CONTACT_S
 
     @property
-    def may_extend_leases(self) -> bool:
-        """Return whether calls that extend leases may be sent.
+    def may_renew(self) -> bool:
+        """Return whether the next call may renew leases and acknowledge ends.
 
         After a call without an answer a later incarnation may receive the next one.
         """
@@ -215,7 +215,7 @@
             async with self._term.roster.first_listings:
                 return await self._read_listing()
         # Numbers and times of this incarnation must not reach the next one.
-        has_answered = self._was_renewed = self.may_extend_leases
+        has_answered = self._was_renewed = self.may_renew
         deadline_ms = self._lease.end_if_granted_now_ms() if has_answered else None
         if deadline_ms is not None:
             self._lease.on_send(deadline_ms)
@@ -387,8 +387,7 @@
             self._kept = {}
             self._unanswered |= late_starts.of_orphans(state, self.worker)
         if self._term.earlier_leases.have_expired(self.service, is_settled=False):
-            unanswered = late_starts.by_run(self.delivery.unanswered_starts())
-            settling.record_listed(state, worker, listed, unanswered.keys())
+            settling.record_listed(state, worker, listed, self.delivery.unanswered_starts)
         late_starts.apply_listing(state, self._unanswered, listing, is_complete=is_complete)
         if is_first:
             worker.is_ready = state.is_changed = True
--- a/src/bronzequay/core/settling.py
+++ b/src/bronzequay/core/settling.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
     from collections.abc import Set as AbstractSet
 
     from bronzequay import ids
@@ -61,17 +62,19 @@
     state: State,
     worker: Worker,
     listed: AbstractSet[tuple[model.TaskKey, int]],
-    unanswered: AbstractSet[tuple[model.TaskKey, int]],
+    unanswered_starts: Callable[[], Iterable[model.Start]],
 ) -> None:
     """Record that no start can arrive any more of runs that a worker lists.
 
-    :param unanswered: runs of which a start of this term may still arrive; those of earlier terms
-        must have arrived
+    :param unanswered_starts: returns the starts of this term that may still arrive; those of
+        earlier terms must have arrived
     """
-    for task in worker.tasks.values():
-        run = (task.key, task.run)
-        if not task.is_answered and run in listed and run not in unanswered:
-            record_answer(state, worker.spec.worker, *run)
+    runs = {(task.key, task.run) for task in worker.tasks.values() if not task.is_answered}
+    if not runs & listed:
+        return
+    unanswered = {(start.key, start.run) for start in unanswered_starts()}
+    for run in (runs & listed) - unanswered:
+        record_answer(state, worker.spec.worker, *run)
 
 
 def is_certainly_here(task: Task) -> bool:
