A drain ends with an answer to each request that was received

Cause: a drain lasts while requests arrive, until 0.5 s before the grace time is over, and then cancelled all connections at once, with the requests that were being handled.

For its last second a drain now accepts no connection, closes idle ones, and waits for the answers. The listening socket is emptied before it is closed, since closing it resets what waits there. It moves to a module of its own, and so does the encoding of responses.

--- a/soak/harness.py
+++ b/soak/harness.py
@@ -117,8 +117,7 @@
         start = self._nursery.start_soon
         start(self.kv.run)
         start(self.world.run)
-        store = server.Server(f"127.0.0.1:{self._store_port}", self.kv.handle)
-        await self._nursery.start(store.run)
+        await self.serve_store()
         self.write_configuration()
         for number in range(self.worker_count):
             zone = evacuations.zone(number)
@@ -129,6 +128,11 @@
             instance.start()
             start(self._watch_exits, instance)
 
+    async def serve_store(self) -> None:
+        """Serve the store on its port."""
+        store = server.Server(f"127.0.0.1:{self._store_port}", self.kv.handle)
+        await self._nursery.start(store.run)
+
     def _make_instance(self, number: int, folder: pathlib.Path) -> Instance:
         ports = [next(self._ports) for _ in range(6)]
         store = links.Link(ports[4], lambda: self._store_port)
--- a/src/bronzequay/net/server.py
+++ b/src/bronzequay/net/server.py
@@ -5,9 +5,9 @@
 
 from __future__ import annotations
 
-import errno
 import functools
 import math
+import select
 import socket
 from typing import TYPE_CHECKING
 
@@ -16,17 +16,16 @@
 import trio
 
 from bronzequay import figures
-from bronzequay.net import framing, ledger, limits
+from bronzequay.net import framing, ledger, limits, listener, responses
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
 READ_BYTES = 16_384
 """Largest read. It bounds the time of one turn: 16 KB of one-byte chunks take about 4 ms."""
-BACKLOG = 512
-ACCEPT_RETRY_S = 0.1
-"""Pause after a failed accept, in which other connections may close."""
 IDLE_POLL_S = 0.05
+LAST_REQUEST_S = 0.1
+"""Time for the request on a connection that was accepted last to arrive."""
 TURN_AWAY_S = 0.1
 """Time for sending the refusal of a new connection; the kernel takes it at once."""
 LINGER_S = 1.0
@@ -34,19 +33,6 @@
 bytes resets the connection, and the peer may lose the response."""
 LINGER_BYTES = 1_310_720
 """Limit on the bytes dropped, so that a body of 1 MB still gets its 413."""
-REASON_PHRASES = {
-    200: "OK",
-    400: "Bad Request",
-    401: "Unauthorized",
-    404: "Not Found",
-    408: "Request Timeout",
-    410: "Gone",
-    413: "Content Too Large",
-    414: "URI Too Long",
-    431: "Request Header Fields Too Large",
-    503: "Service Unavailable",
-}
-
 _log = structlog.get_logger()
 
 
@@ -95,6 +81,13 @@
         self.is_waiting = False
         self.is_sending = False
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no part of a request or response is in progress, or waits to be read."""
+        poll = select.poll()
+        poll.register(self.stream.socket.fileno(), select.POLLIN)
+        return self.account.phase is limits.Phase.IDLE and not poll.poll(0)
+
 
 class Server:
     """Serves one address until cancelled.
@@ -124,6 +117,8 @@
         self._accept_turns = None if turns is None else limits.Turns(limits.ACCEPT_SHARE)
         self._name = name
         self.ledger = ledger.Ledger(read_limits)
+        self._accept_scope = trio.CancelScope()
+        self._conns: set[_Connection] = set()
         self._is_keep_alive_disabled = False
         self._in_flight = 0
         self._last_request_s = 0.0
@@ -151,40 +146,51 @@
 
         :param task_status: started once the server listens
         """
-        listener = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        buffer_bytes = self._read_limits().socket_buffer_bytes
-        if buffer_bytes:  # accepted connections inherit them
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
-        await listener.bind((self._host, self._port))
-        listener.listen(BACKLOG)
-        task_status.started()
-        async with trio.open_nursery() as nursery:
-            while True:
-                if self._accept_turns is not None:
-                    if self._accept_turns.is_busy:
-                        await self._accept_turns.take()
-                    self._accept_turns.spend(limits.ACCEPT_COST_S)
-                try:
-                    sock, peer = await listener.accept()
-                except OSError as exc:
-                    # The listener stays usable: a lack of descriptors or memory, or an error of
-                    # the connection that was to be accepted.
-                    _log.warning("accept_failed", error=str(exc))
-                    if exc.errno in (errno.EMFILE, errno.ENFILE):
-                        self.ledger.evict_idle()
-                    await trio.sleep(ACCEPT_RETRY_S)
-                    continue
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                stream = trio.SocketStream(sock)
-                try:
-                    account = self.ledger.open(peer[0])
-                except limits.Refusal as refusal:
-                    nursery.start_soon(self._turn_away, stream, peer[0], refusal)
-                    continue
-                conn = _Connection(stream, account, self._read_limits)
-                nursery.start_soon(self._serve, conn)
+        accepting = listener.Listener(
+            self._host,
+            self._port,
+            buffer_bytes=self._read_limits().socket_buffer_bytes,
+            on_exhausted=self.ledger.evict_idle,
+        )
+        try:
+            task_status.started()
+            async with trio.open_nursery() as nursery:
+                with self._accept_scope:
+                    while True:
+                        if self._accept_turns is not None:
+                            if self._accept_turns.is_busy:
+                                await self._accept_turns.take()
+                            self._accept_turns.spend(limits.ACCEPT_COST_S)
+                        self._open(nursery, *await accepting.accept())
+                for stream, peer in accepting.close():
+                    self._open(nursery, stream, peer)
+        finally:
+            for stream, _ in accepting.close():
+                stream.socket.close()
+
+    async def finish(self, within_s: float) -> None:
+        """Accept no more connections, and answer the requests that have been sent.
+
+        :param within_s: longest time for the answers, in seconds
+        """
+        self._accept_scope.cancel()
+        with trio.move_on_after(within_s):
+            await trio.sleep(LAST_REQUEST_S)
+            for conn in self._conns:
+                if conn.is_idle:
+                    conn.account.scope.cancel()
+            while self._conns:  # noqa: ASYNC110  # as in ``wait_idle``
+                await trio.sleep(IDLE_POLL_S)
+
+    def _open(self, nursery: trio.Nursery, stream: trio.SocketStream, peer: str) -> None:
+        try:
+            account = self.ledger.open(peer)
+        except limits.Refusal as refusal:
+            nursery.start_soon(self._turn_away, stream, peer, refusal)
+            return
+        conn = _Connection(stream, account, self._read_limits)
+        self._conns.add(conn)
+        nursery.start_soon(self._serve, conn)
 
     async def _turn_away(
         self, stream: trio.SocketStream, peer: str, refusal: limits.Refusal
@@ -217,6 +223,7 @@
             if refusal is not None:
                 await self._refuse(conn, refusal)
         finally:
+            self._conns.discard(conn)
             conn.reader.clear()
             self.ledger.close(account)
             conn.stream.socket.close()
@@ -297,7 +304,9 @@
             response = await self._call_handler(message)
             keep_alive = message.is_keep_alive and not self._is_keep_alive_disabled
             del message
-            data = _encode(response, keep_alive=keep_alive)
+            data = responses.encode(
+                response.status, response.body, response.headers, keep_alive=keep_alive
+            )
             del response
             self._last_request_s = trio.current_time()
             self.ledger.respond(conn.account, len(data))
@@ -376,22 +385,7 @@
 def _encode_refusal(refusal: limits.Refusal) -> bytes:
     has_retry = refusal.status == 503  # noqa: PLR2004
     headers = (("Retry-After", str(limits.RETRY_AFTER_S)),) if has_retry else ()
-    return _encode(Response(refusal.status, b"", headers), keep_alive=False)
-
-
-@functools.cache
-def _status_line(status: int) -> str:
-    return f"HTTP/1.1 {status} {REASON_PHRASES.get(status, 'Status')}"
-
-
-def _encode(response: Response, *, keep_alive: bool) -> bytes:
-    lines = [_status_line(response.status), f"Content-Length: {len(response.body)}"]
-    if response.body and not any(name == "Content-Type" for name, _ in response.headers):
-        lines.append("Content-Type: application/json")
-    lines.extend(f"{name}: {value}" for name, value in response.headers)
-    if not keep_alive:
-        lines.append("Connection: close")
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + response.body
+    return responses.encode(refusal.status, b"", headers, keep_alive=False)
 
 
 __all__ = ["Request", "Response", "Server"]
--- a/src/bronzequay/node.py
+++ b/src/bronzequay/node.py
@@ -34,6 +34,9 @@
 DELAY_S_PER_MISSING_CORE = 0.2
 FAILED_TERM_PAUSE_S = 1.0
 """Pause after a term that ended with an unexpected error, in which other instances go first."""
+FINISH_S = 1.0
+"""Last part of a drain, in which no connection is accepted and requests in progress are answered.
+Most answers take less than 0.1 s."""
 GRACE_MARGIN_S = 0.5
 """Part of the time between SIGTERM and SIGKILL that is left for the exit."""
 
@@ -155,12 +158,16 @@
                     return
 
     async def _drain(self) -> None:
-        """Stop scheduling, then complete the requests in progress within the grace time."""
+        """Stop scheduling, and serve callers until they have noticed or the grace time is over.
+
+        Callers may notice late, so the last of their requests are answered at the end.
+        """
         self._is_draining = True
         self._scheduling_scope.cancel()
         self._front.disable_keep_alive()
-        with trio.move_on_after(self._cfg.grace_s - GRACE_MARGIN_S):
+        with trio.move_on_after(self._cfg.grace_s - GRACE_MARGIN_S - FINISH_S):
             await self._front.wait_idle(IDLE_S)
+        await self._front.finish(FINISH_S)
 
     async def _run_terms(self) -> None:
         with self._scheduling_scope:
