A second SIGTERM does not cut a drain short

Cause: the signal receiver was left before the drain began, which restores the default handlers. A second SIGTERM then ended the process at once. Both programs now keep the receiver until the drain is over, and log what arrives meanwhile. Signals that nobody has read would be raised again as the receiver is left, so they are read.

--- a/src/bronzequay/daemon.py
+++ b/src/bronzequay/daemon.py
@@ -6,18 +6,15 @@
 import sys
 import time
 
-import structlog
 import trio
 
-from bronzequay import errors
+from bronzequay import errors, signals
 from bronzequay.cfg import entry
 from bronzequay.instance import Instance
 from bronzequay.obs import log
 
 EXIT_ERROR = 1
 
-_log = structlog.get_logger()
-
 
 async def run(cfg: entry.EntryCfg, resolved: entry.ResolvedSettings) -> None:
     """Run one entry instance until SIGTERM or SIGINT, then drain it.
@@ -26,11 +23,12 @@
     :param resolved: each setting with its origin, for the state dump
     """
     async with Instance(cfg=cfg, resolved=resolved, wall_clock=time.time) as instance:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for number in signals:
-                _log.info("shutdown_started", signal=signal.Signals(number).name)
-                break
-        await instance.shutdown()
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+            await signals.wait_for_end(received)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(signals.ignore, received)
+                await instance.shutdown()
+                nursery.cancel_scope.cancel()
 
 
 def main() -> None:
--- a/src/bronzequay/node.py
+++ b/src/bronzequay/node.py
@@ -11,7 +11,7 @@
 import structlog
 import trio
 
-from bronzequay import allocator, errors, listener_limits
+from bronzequay import allocator, errors, listener_limits, signals
 from bronzequay.cfg import node
 from bronzequay.control import lease, term
 from bronzequay.front import admission, config_watcher, handler
@@ -114,8 +114,12 @@
                 nursery.start_soon(run)
             if self._admission is not None:
                 nursery.start_soon(self._admission.run)
-            await self._wait_for_signal()
-            await self._drain()
+            with trio.open_signal_receiver(
+                signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+            ) as received:
+                await signals.wait_for_end(received)
+                nursery.start_soon(signals.ignore, received)
+                await self._drain()
             nursery.cancel_scope.cancel()
 
     async def _return_freed_memory(self) -> None:
@@ -150,13 +154,6 @@
             "term": None if self._term is None else self._term.dump(),
         }
 
-    async def _wait_for_signal(self) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            async for number in signals:
-                _log.info("signal", name=signal.Signals(number).name)
-                if number != signal.SIGHUP:
-                    return
-
     async def _drain(self) -> None:
         """Stop scheduling, and serve callers until they have noticed or the grace time is over.
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -18,6 +18,7 @@
 
 CALLERS = 12
 STORE_DELAY_S = 0.15
+SECOND_SIGNAL_S = 0.3
 TIMEOUT_S = 20.0
 
 
@@ -80,3 +81,9 @@
     """Guards against a drain that ends with requests that were read and not answered."""
     statuses = await shut_down_under_calls(tmp_path, 0.5)
     assert len(statuses) > CALLERS
+
+
+async def test_a_second_sigterm_does_not_end_a_drain(tmp_path: pathlib.Path) -> None:
+    """Guards against a repeated SIGTERM that kills an instance with requests in progress."""
+    statuses = await shut_down_under_calls(tmp_path, 0.5, SECOND_SIGNAL_S)
+    assert len(statuses) > CALLERS
