Soak: waiting for an instance to exit does not kill its next process

Cause: while a fault waited for an instance to exit, another fault that had waited for the same exit could start the next process between two looks. The first one then waited for that process, and killed it after 6 s without noting the fault. Found while reading for the requests that were cut off in a shutdown; no run is known in which it did.

The test failed in each of 3 runs before and passed in each of 3 after.

--- a/soak/instances.py
+++ b/soak/instances.py
@@ -102,11 +102,16 @@
             self._process.send_signal(number)
 
     async def wait_exited(self, within_s: float) -> None:
-        """Wait until the process exits, and kill it after ``within_s`` seconds."""
+        """Wait until the present process exits, and kill it after ``within_s`` seconds.
+
+        Another fault may start the next process meanwhile.
+        """
+        process = self._process
+        if process is None:
+            return
         with trio.move_on_after(within_s):
-            while self.is_running:  # noqa: ASYNC110  # a process exit sets no event
+            while process.poll() is None:  # noqa: ASYNC110  # a process exit sets no event
                 await trio.sleep(0.02)
-        if self.is_running:
-            self.send_signal(signal.SIGKILL)
-        if self._process is not None:
-            self._process.wait()
+        if process.poll() is None:
+            process.kill()
+        process.wait()
