The wait for a run that may begin late counts from the last call that was sent

Callers saw tasks wait for 30 s when their start went unanswered and its worker did not come back.

Cause: the wait of 25 s (15 s until the last call can arrive, and the longest lease) began only when the worker's lease had lapsed, at least 5 s after its last answer. What can begin or extend a run on a later incarnation was sent before: deadlines by the session, whose send times it now keeps, or by an earlier term, which sends nothing once this one has reached a majority and 3 s have passed.

--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -14,8 +14,6 @@
 from bronzequay.platform import executor_entries, workers
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from bronzequay import ids
     from bronzequay.control.term import Term
     from bronzequay.core.state import State
@@ -43,9 +41,7 @@
 
     :param entry: the executor's entry in the store
     :param term: the term that sends the orders
-    :param deadline_ms: returns the end of the run's lease for a start that is sent now, on the
-        worker's clock
-    :param clock_ms: returns the present time on the clock of this incarnation
+    :param lease: the run lease on this incarnation
     :param fence: epoch that the orders carry
     :ivar client: client of the executor
     """
@@ -55,16 +51,14 @@
         entry: executor_entries.ExecutorEntry,
         term: Term,
         *,
-        deadline_ms: Callable[[], float],
-        clock_ms: Callable[[], float],
+        lease: run_lease.RunLease,
         fence: ids.Epoch,
     ) -> None:
         self.client = workers.OrderClient(entry.executor, entry.address, fence)
         self._worker = entry.spec.worker
         self._data_centre = entry.spec.data_centre
         self._term = term
-        self._deadline_ms = deadline_ms
-        self._clock_ms = clock_ms
+        self._lease = lease
         self._answered_s: dict[tuple[model.TaskKey, int], float] = {}
         self._unanswered: dict[tuple[model.TaskKey, int], tuple[float, model.Start]] = {}
         self._send, self._receive = trio.open_memory_channel[model.Command](float("inf"))
@@ -169,7 +163,10 @@
             # Recorded before the call: the incarnation may end during it and the start arrive late.
             self._unanswered[run] = (trio.current_time(), command)
             reply = await self.client.start(
-                command, payload=payload, deadline_ms=self._deadline_ms(), timeout_s=TIMEOUT_S
+                command,
+                payload=payload,
+                deadline_ms=self._lease.grant_start_ms(),
+                timeout_s=TIMEOUT_S,
             )
             may_have_started |= reply.outcome is workers.Outcome.UNKNOWN
             if self._is_later_incarnation(reply):
@@ -227,7 +224,9 @@
         """Return whether a later incarnation under the same id answered; its clock restarted."""
         if reply.clock_ms is None:
             return False
-        return reply.clock_ms < self._clock_ms() * run_lease.MIN_CLOCK_RATE - CLOCK_TOLERANCE_MS
+        return (
+            reply.clock_ms < self._lease.clock_ms() * run_lease.MIN_CLOCK_RATE - CLOCK_TOLERANCE_MS
+        )
 
     async def _pace(self, command: model.Pace) -> None:
         """Send a pace order once; if it is not confirmed, the next listing leads to another."""
--- a/src/bronzequay/control/late_starts.py
+++ b/src/bronzequay/control/late_starts.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from bronzequay.control import run_lease
 from bronzequay.core import lifecycle, losses, model, settling
 from bronzequay.platform import executor_entries
 
@@ -24,13 +25,13 @@
     """What a term has sent to incarnations of an executor that are over.
 
     :param starts: unanswered starts
-    :param latest_deadline_ms: latest deadline of their run leases, each on its own clock
-    :param over_s: boot clock when the last of them was known to be over, or its leases expired
+    :param sent: deadlines of their run leases
+    :param sent_s: boot clock when the last call was sent that can begin or extend one of the runs
     """
 
     starts: tuple[model.Start, ...] = ()
-    latest_deadline_ms: float = 0.0
-    over_s: float = float("-inf")
+    sent: run_lease.Sent = run_lease.Sent()
+    sent_s: float = float("-inf")
 
 
 def by_run(starts: Iterable[model.Start]) -> LateStarts:
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -291,7 +291,7 @@
     ) -> None:
         """End runs that no later incarnation has answered for, once none can run any more."""
         late_run_s = run_lease.late_run_s(self._term.max_run_lease_s)
-        await trio.sleep(max(0.0, replaced.over_s + late_run_s - clock.boot_s()))
+        await trio.sleep(max(0.0, replaced.sent_s + late_run_s - clock.boot_s()))
         for start in replaced.starts:
             current = self._sessions.get(executor)
             # A session that lists the run renews its lease until the run has been stopped.
--- a/src/bronzequay/control/run_lease.py
+++ b/src/bronzequay/control/run_lease.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from bronzequay import clock
 
@@ -50,20 +50,30 @@
     EARLIER_LIFE = "earlier_life"
 
 
+class Sent(NamedTuple):
+    """Deadlines that a term has sent to the incarnations under one id.
+
+    :param latest_deadline_ms: the latest of them, each on the clock of its incarnation
+    :param at_s: boot clock when the last one was sent
+    """
+
+    latest_deadline_ms: float = 0.0
+    at_s: float = float("-inf")
+
+
 class RunLease:
     """Latest end of the run lease that one incarnation of a worker may hold, on its own clock.
 
     The worker kills all its runs when its lease ends. Which lease it holds cannot be queried.
 
     :param max_lease_s: longest lease that the worker grants
-    :param latest_deadline_ms: latest deadline that this term has sent to earlier incarnations, each
-        on its own clock
-    :ivar latest_deadline_ms: the same with those sent to this one
+    :param sent: what this term has sent to earlier incarnations
+    :ivar sent: the same with what it has sent to this one
     """
 
-    def __init__(self, max_lease_s: float, latest_deadline_ms: float = 0.0) -> None:
+    def __init__(self, max_lease_s: float, sent: Sent) -> None:
         self._max_lease_s = max_lease_s
-        self.latest_deadline_ms = latest_deadline_ms
+        self.sent = sent
         self._clock_ms: float | None = None
         self._read_s = 0.0
         self._end_ms = 0.0
@@ -95,7 +105,15 @@
 
     def on_send(self, deadline_ms: float) -> None:
         """Note a deadline that is about to be sent, in case the session ends during the call."""
-        self.latest_deadline_ms = max(self.latest_deadline_ms, deadline_ms)
+        latest_ms = max(self.sent.latest_deadline_ms, deadline_ms)
+        self.sent = Sent(latest_ms, clock.boot_s())
+
+    def grant_start_ms(self) -> float:
+        """Return the end of the lease for a start that is about to be sent, and count it."""
+        end_ms = self.end_if_granted_now_ms()
+        self.on_send(end_ms)
+        self.extend(end_ms, Basis.START)
+        return end_ms
 
     def extend(self, end_ms: float, basis: Basis) -> None:
         """Count a lease that the worker may have granted.
@@ -116,7 +134,7 @@
         assert self._clock_ms is not None  # noqa: S101  # set by the first listing
         longest_end_ms = self._clock_ms + self._max_lease_s * 1000
         self._count_earlier(
-            min(self.latest_deadline_ms, longest_end_ms) if is_settled else longest_end_ms
+            min(self.sent.latest_deadline_ms, longest_end_ms) if is_settled else longest_end_ms
         )
         self.extend(self._clock_ms + RUN_LEASE_S / MIN_CLOCK_RATE * 1000, Basis.EARLIER_TERM)
 
@@ -183,6 +201,16 @@
         settled_s = CONTACT_S + MAX_ORDER_DELAY_S + lease_s
         return not self.were_granted or self._majority_age_s(service) > settled_s
 
+    def sent_s(self, service: ids.ServiceId) -> float:
+        """Return the boot time after which earlier terms send no calls that matter here.
+
+        As long as this term has not reached a majority, they may still send some.
+        """
+        if not self.were_granted:
+            return float("-inf")
+        majority_s = self._majority_s.get(service)
+        return clock.boot_s() if majority_s is None else majority_s + CONTACT_S
+
     def _majority_age_s(self, service: ids.ServiceId) -> float:
         return clock.boot_s() - self._majority_s.get(service, float("inf"))
 
@@ -196,5 +224,6 @@
     "Basis",
     "EarlierLeases",
     "RunLease",
+    "Sent",
     "late_run_s",
 ]
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -80,12 +80,11 @@
         self.machine = entry.spec.machine
         self.service = entry.spec.service
         self.is_listed = True
-        self._lease = run_lease.RunLease(term.max_run_lease_s, replaced.latest_deadline_ms)
+        self._lease = run_lease.RunLease(term.max_run_lease_s, replaced.sent)
         self.delivery = delivery.Delivery(
             entry,
             term,
-            deadline_ms=self._start_deadline_ms,
-            clock_ms=self._lease.clock_ms,
+            lease=self._lease,
             fence=entry.fence(term.epoch),
         )
         self._unanswered = late_starts.by_run(replaced.starts)
@@ -146,8 +145,13 @@
             | self._unanswered
             | self._kept
         )
+        return late_starts.Replaced(tuple(starts.values()), self._lease.sent, self._sent_s())
+
+    def _sent_s(self) -> float:
+        """Return the boot time after which nothing was sent that can begin or extend a run here."""
+        earlier_s = self._term.earlier_leases.sent_s(self.service)
         over_s = self._lapsed_s if self._is_lost else clock.boot_s()
-        return late_starts.Replaced(tuple(starts.values()), self._lease.latest_deadline_ms, over_s)
+        return min(max(self._lease.sent.at_s, earlier_s), over_s)
 
     def has_late_run(self, start: model.Start) -> bool:
         """Return whether this incarnation has listed the run of a start to an earlier one."""
@@ -246,13 +250,6 @@
             return 0.0
         return SHARED_LISTING_WAIT_S if self._has_fillers_beside_serving else LISTING_WAIT_S
 
-    def _start_deadline_ms(self) -> float:
-        """Return the end of the lease for a start that is about to be sent."""
-        end_ms = self._lease.end_if_granted_now_ms()
-        self._lease.on_send(end_ms)
-        self._lease.extend(end_ms, run_lease.Basis.START)
-        return end_ms
-
     def _are_leases_expired(self) -> bool:
         """Return whether the worker's run leases have certainly expired."""
         if not self._lease.is_clock_known:
@@ -271,7 +268,9 @@
         if self._is_lost:
             if self._kept:
                 self._term.post(self._end_kept_runs)
-            return not self.is_listed and self._end()
+            if not self.is_listed:
+                self._term.roster.end_session(self, Ending.LAPSED)
+            return not self.is_listed
         if not self._are_leases_expired():
             return False
         _log.warning(
@@ -310,23 +309,19 @@
         too, if the record of the run does not say otherwise.
         """
         self._kept = self._unanswered | late_starts.by_run(self.delivery.unanswered_starts())
-        if self._lease.is_clock_known or self._term.earlier_leases.have_expired(
+        earlier = self._term.earlier_leases
+        if not self._lease.is_clock_known and not earlier.have_expired(
             self.service, is_settled=False
         ):
-            return
-        unsettled = (task for task in worker.tasks.values() if not task.is_settled)
-        self._kept |= late_starts.of_tasks(self.worker, unsettled)
+            unsettled = (task for task in worker.tasks.values() if not task.is_settled)
+            self._kept |= late_starts.of_tasks(self.worker, unsettled)
 
     def _end_kept_runs(self, state: State) -> None:
         kept_s = run_lease.late_run_s(self._term.max_run_lease_s)
-        if self._is_lost and clock.boot_s() - self._lapsed_s > kept_s:
+        if self._is_lost and clock.boot_s() - self._sent_s() > kept_s:
             while self._kept:
                 late_starts.end_as_lost(state, self._kept.popitem()[1])
 
-    def _end(self) -> bool:
-        self._term.roster.end_session(self, Ending.LAPSED)
-        return True
-
     async def _on_listing(self, listing: workers.Listing, sent_s: float) -> None:
         self._lease.read_clock(listing.clock_ms)
         self._acks.on_answer()
--- a/tests/control/test_later_lives.py
+++ b/tests/control/test_later_lives.py
@@ -96,6 +96,22 @@
     await check_one_run_at_a_time(site, executor)
 
 
+async def test_a_start_that_was_lost_with_its_worker_is_waited_for_since_it_was_sent(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against lost room: the wait for a late run began only as its worker's lease lapsed."""
+    executor = await lose_start(site, late_s=LATE_S)
+    site.crash(executor)
+    test_leases.cut(site, executor)
+    lost_s = trio.current_time()
+    mate = site.add_executor(2)
+    mate.beats = True
+    await site.wait_until(lambda: mate.runs, timeout_s=LONGEST_WAIT_S)
+    longest_s = run_lease.late_run_s(test_leases.MAX_LEASE_S)
+    assert trio.current_time() - lost_s < longest_s + 2.0
+    site.check_runs()
+
+
 @pytest.mark.parametrize("listed", ["former", "next", "none"])
 async def test_a_fresh_term_waits_for_a_start_that_a_life_it_never_reached_may_carry_out(
     autojump_clock: MockClock, site: Site, listed: str
@@ -249,7 +265,12 @@
 @pytest.mark.parametrize("is_cut", [False, True])
 @pytest.mark.parametrize("ahead_ms", [-400.0, 0.0, 400.0, 3_000.0])
 async def test_a_start_that_the_next_life_answered_is_not_taken_as_lost_with_the_former(
-    autojump_clock: MockClock, site: Site, ahead_ms: float, *, is_cut: bool
+    autojump_clock: MockClock,
+    monkeypatch: pytest.MonkeyPatch,
+    site: Site,
+    ahead_ms: float,
+    *,
+    is_cut: bool,
 ) -> None:
     """Guards against a second run beside one on a life whose clock is near the former one's."""
     executor = site.add_executor(1)
