A worker whose last answer is not fresh is asked before it gets a start

Others are asked first, by a call that only reads the runs and therefore leaves nothing to wait for; all starts to a worker share it. One that does not answer, or is another incarnation, gets no tasks until its session hears it again.

--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -9,7 +9,7 @@
 import trio
 
 from bronzequay import errors, figures
-from bronzequay.control import run_lease
+from bronzequay.control import contact, run_lease
 from bronzequay.core import advice, lifecycle, model, pacing, settling
 from bronzequay.platform import executor_entries, workers
 
@@ -59,6 +59,7 @@
         self._data_centre = entry.spec.data_centre
         self._term = term
         self._lease = lease
+        self._contact = contact.Contact(self._worker, self.client, lease.clock_age_s)
         self._answered_s: dict[tuple[model.TaskKey, int], float] = {}
         self._unanswered: dict[tuple[model.TaskKey, int], tuple[float, model.Start]] = {}
         self._send, self._receive = trio.open_memory_channel[model.Command](float("inf"))
@@ -154,10 +155,11 @@
         may_have_started = False
         for _ in range(MAX_START_ATTEMPTS):
             await self._term.wait_until_startable(self._worker)
+            is_withheld = await self._is_withheld(command)
             payload = self._term.payload_for(command)
             if payload is None:
                 return
-            if self._is_withheld(command):
+            if is_withheld:
                 await self._withhold(command, may_have_started=may_have_started)
                 return
             # Recorded before the call: the incarnation may end during it and the start arrive late.
@@ -180,13 +182,15 @@
                 return
         self._term.post(lambda state: lifecycle.abandon_start(state, command))
 
-    def _is_withheld(self, command: model.Start) -> bool:
+    async def _is_withheld(self, command: model.Start) -> bool:
         """Return whether a start may not be sent now; log and count it then."""
-        why = self._term.evacuations.reason_to_withhold(self._data_centre)
-        if why is None and not self._term.roster.may_start(self._worker):
-            why = "leaving"
-        if why is None and not self._term.roster.is_in_contact(self._worker):
+        asked_s = trio.current_time()
+        why = self._reason_to_withhold()
+        if why is None and not await self._contact.is_answering():
             why = "silent"
+            self._term.post(lambda state: _mark_silent(state, self._worker, asked_s))
+        # A drain or an evacuation may have been announced meanwhile.
+        why = why or self._reason_to_withhold()
         if why is None:
             return False
         figures.count(f'starts_withheld{{why="{why}"}}')
@@ -201,6 +205,14 @@
         )
         return True
 
+    def _reason_to_withhold(self) -> str | None:
+        why = self._term.evacuations.reason_to_withhold(self._data_centre)
+        if why is None and not self._term.roster.may_start(self._worker):
+            why = "leaving"
+        if why is None and not self._term.roster.is_in_contact(self._worker):
+            why = "silent"
+        return why
+
     async def _withhold(self, command: model.Start, *, may_have_started: bool) -> None:
         """End the run of a start that may not be sent, or not again.
 
@@ -279,6 +291,13 @@
         self._answered_s[(command.key, command.run)] = trio.current_time()
 
 
+def _mark_silent(state: State, worker_id: ids.WorkerId, asked_s: float) -> None:
+    """Place nothing on a worker until it answers again, unless it has meanwhile."""
+    worker = state.workers.get(worker_id)
+    if worker is not None and worker.heard_s < asked_s:
+        worker.is_silent = True
+
+
 def _end_as_withheld(state: State, command: model.Start) -> None:
     lifecycle.end_run(state, command.worker, command.key, command.run, model.End.NEVER_RAN)
 
--- a/tests/control/test_later_lives.py
+++ b/tests/control/test_later_lives.py
@@ -11,7 +11,7 @@
 import pytest
 import trio
 
-from bronzequay.control import keys, run_lease, session
+from bronzequay.control import contact, keys, run_lease, session
 from bronzequay.fakes import tasks
 from tests.control import test_chaos, test_leases
 
@@ -273,6 +273,8 @@
     is_cut: bool,
 ) -> None:
     """Guards against a second run beside one on a life whose clock is near the former one's."""
+    # The worker restarts after it was asked whether it answers and before the start arrives.
+    monkeypatch.setattr(contact, "FRESH_S", float("inf"))
     executor = site.add_executor(1)
     site.start_scheduler("a")
     await site.wait_until(site.leader)
