A start is checked after its worker was asked, and an answer counts for all who wait for it

- A start could be sent after the leader lease had run out, or by cancellations that had become too old, since these were checked before the question, which takes up to 0.6 s.
Nothing waits any more between the checks and the call.
- Starts that waited for one question judged the age of its answer each for itself: where the event loop was busy for 0.25 s after it, they were withheld and the worker counted as silent.
They now take the result of the question, which includes an answer to the session meanwhile.

--- a/src/bronzequay/control/contact.py
+++ b/src/bronzequay/control/contact.py
@@ -28,7 +28,7 @@
 
 
 class Contact:
-    """Asks one incarnation of a worker, once at a time, whether it answers.
+    """Asks one incarnation of a worker, for all starts that wait for that, whether it answers.
 
     :param worker: the incarnation
     :param client: client of its executor
@@ -44,37 +44,36 @@
         self._worker = worker
         self._client = client
         self._answer_age_s = answer_age_s
-        self._answered_s = float("-inf")
         self._asking: trio.Event | None = None
+        self._has_answered = False
 
-    async def is_answering(self) -> bool:
-        """Return whether the worker has just answered, or answers now."""
-        if self._is_fresh():
-            return True
-        if self._asking is None:
-            await self._ask()
-        else:
-            await self._asking.wait()
-        return self._is_fresh()
-
-    def _is_fresh(self) -> bool:
-        return min(self._answer_age_s(), clock.boot_s() - self._answered_s) < FRESH_S
+    def is_fresh(self) -> bool:
+        """Return whether the worker has just answered its session."""
+        return self._answer_age_s() < FRESH_S
 
-    async def _ask(self) -> None:
-        asking = self._asking = trio.Event()
+    async def ask(self) -> bool:
+        """Return whether the worker answers this question, or its session meanwhile."""
+        if self._asking is not None:
+            await self._asking.wait()
+            return self._has_answered
+        self._asking, self._has_answered = trio.Event(), False
+        asked_s = clock.boot_s()
         try:
             reply = await self._client.hold(
                 last_seen_end=0, deadline_ms=None, wait_s=0.0, timeout_s=TIMEOUT_S
             )
+            is_heard = self._answer_age_s() < clock.boot_s() - asked_s
+            self._has_answered = is_heard or self._is_here(reply)
         finally:
+            self._asking.set()
             self._asking = None
-            asking.set()
-        listing = reply.listing
-        if listing is None:
-            return
+        return self._has_answered
+
+    def _is_here(self, reply: workers.Reply) -> bool:
+        if reply.listing is None:
+            return False
         executor = executor_entries.executor_of(self._worker)
-        if executor_entries.worker_id(executor, listing.started_ms) == self._worker:
-            self._answered_s = clock.boot_s()
+        return executor_entries.worker_id(executor, reply.listing.started_ms) == self._worker
 
 
 __all__ = ["Contact"]
--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -154,12 +154,13 @@
         run = (command.key, command.run)
         may_have_started = False
         for _ in range(MAX_START_ATTEMPTS):
+            is_answering = await self._is_answering()
+            # Nothing waits between these checks and the call.
             await self._term.wait_until_startable(self._worker)
-            is_withheld = await self._is_withheld(command)
             payload = self._term.payload_for(command)
             if payload is None:
                 return
-            if is_withheld:
+            if self._is_withheld(command, is_answering=is_answering):
                 await self._withhold(command, may_have_started=may_have_started)
                 return
             # Recorded before the call: the incarnation may end during it and the start arrive late.
@@ -182,15 +183,23 @@
                 return
         self._term.post(lambda state: lifecycle.abandon_start(state, command))
 
-    async def _is_withheld(self, command: model.Start) -> bool:
-        """Return whether a start may not be sent now; log and count it then."""
+    async def _is_answering(self) -> bool:
+        """Return whether the worker has just answered, or answers when asked.
+
+        It is not asked if the start is withheld for another reason.
+        """
+        await self._term.wait_until_startable(self._worker)
+        if self._contact.is_fresh() or self._reason_to_withhold() is not None:
+            return True
         asked_s = trio.current_time()
-        why = self._reason_to_withhold()
-        if why is None and not await self._contact.is_answering():
-            why = "silent"
-            self._term.post(lambda state: _mark_silent(state, self._worker, asked_s))
-        # A drain or an evacuation may have been announced meanwhile.
-        why = why or self._reason_to_withhold()
+        if await self._contact.ask():
+            return True
+        self._term.post(lambda state: _mark_silent(state, self._worker, asked_s))
+        return False
+
+    def _is_withheld(self, command: model.Start, *, is_answering: bool) -> bool:
+        """Return whether a start may not be sent now; log and count it then."""
+        why = self._reason_to_withhold() or (None if is_answering else "silent")
         if why is None:
             return False
         figures.count(f'starts_withheld{{why="{why}"}}')
