The wait for a late run counts from the end of the call, not from before it was sent

Found in review: a machine that is suspended between the note of a start and its sending, in a term that survives that, sends it later than noted. The time is now noted as the call ends, and while one is in progress it may still be sent.

--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -165,12 +165,13 @@
                 return
             # Recorded before the call: the incarnation may end during it and the start arrive late.
             self._unanswered[run] = (trio.current_time(), command)
-            reply = await self.client.start(
-                command,
-                payload=payload,
-                deadline_ms=self._lease.grant_start_ms(),
-                timeout_s=TIMEOUT_S,
-            )
+            with self._lease.sending():
+                reply = await self.client.start(
+                    command,
+                    payload=payload,
+                    deadline_ms=self._lease.grant_start_ms(),
+                    timeout_s=TIMEOUT_S,
+                )
             may_have_started |= reply.outcome is workers.Outcome.UNKNOWN
             if self._is_later_incarnation(reply):
                 _log.info("later_incarnation_answered", worker=self._worker, job=command.key.job)
--- a/src/bronzequay/control/run_lease.py
+++ b/src/bronzequay/control/run_lease.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import enum
 from typing import TYPE_CHECKING, NamedTuple
 
 from bronzequay import clock
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
     from collections.abc import Set as AbstractSet
 
     from bronzequay import ids
@@ -54,7 +56,7 @@
     """Deadlines that a term has sent to the incarnations under one id.
 
     :param latest_deadline_ms: the latest of them, each on the clock of its incarnation
-    :param at_s: boot clock when the last one was sent
+    :param at_s: boot clock when the last call with one ended
     """
 
     latest_deadline_ms: float = 0.0
@@ -74,6 +76,7 @@
     def __init__(self, max_lease_s: float, sent: Sent) -> None:
         self._max_lease_s = max_lease_s
         self.sent = sent
+        self._calls = 0
         self._clock_ms: float | None = None
         self._read_s = 0.0
         self._end_ms = 0.0
@@ -106,7 +109,21 @@
     def on_send(self, deadline_ms: float) -> None:
         """Note a deadline that is about to be sent, in case the session ends during the call."""
         latest_ms = max(self.sent.latest_deadline_ms, deadline_ms)
-        self.sent = Sent(latest_ms, clock.boot_s())
+        self.sent = self.sent._replace(latest_deadline_ms=latest_ms)
+
+    @contextlib.contextmanager
+    def sending(self) -> Iterator[None]:
+        """Surround a call with a deadline, which may be sent at any time until it ends."""
+        self._calls += 1
+        try:
+            yield
+        finally:
+            self._calls -= 1
+            self.sent = self.sent._replace(at_s=clock.boot_s())
+
+    def sent_s(self) -> float:
+        """Return the boot time when a deadline was last sent, as far as known."""
+        return clock.boot_s() if self._calls else self.sent.at_s
 
     def grant_start_ms(self) -> float:
         """Return the end of the lease for a start that is about to be sent, and count it."""
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import enum
 from typing import TYPE_CHECKING
 
@@ -148,10 +149,13 @@
         return late_starts.Replaced(tuple(starts.values()), self._lease.sent, self._sent_s())
 
     def _sent_s(self) -> float:
-        """Return the boot time after which nothing was sent that can begin or extend a run here."""
+        """Return when this term or an earlier one last sent a call that can matter to a run here.
+
+        A later session under the same id counts its own calls.
+        """
         earlier_s = self._term.earlier_leases.sent_s(self.service)
         over_s = self._lapsed_s if self._is_lost else clock.boot_s()
-        return min(max(self._lease.sent.at_s, earlier_s), over_s)
+        return min(max(self._lease.sent_s(), earlier_s), over_s)
 
     def has_late_run(self, start: model.Start) -> bool:
         """Return whether this incarnation has listed the run of a start to an earlier one."""
@@ -225,12 +229,13 @@
             self._lease.on_send(deadline_ms)
         reply: workers.Reply | None = None
         try:
-            reply = await client.hold(
-                last_seen_end=self._acks.next_number(has_answered=has_answered),
-                deadline_ms=deadline_ms,
-                wait_s=self._listing_wait_s(),
-                timeout_s=CALL_TIMEOUT_S,
-            )
+            with self._lease.sending() if has_answered else contextlib.nullcontext():
+                reply = await client.hold(
+                    last_seen_end=self._acks.next_number(has_answered=has_answered),
+                    deadline_ms=deadline_ms,
+                    wait_s=self._listing_wait_s(),
+                    timeout_s=CALL_TIMEOUT_S,
+                )
         finally:
             may_be_renewed = reply is None or reply.outcome not in _NOT_RENEWED
             if deadline_ms is not None and may_be_renewed:
