A late run that a later session has taken over is not freed by the former session's wait

A session that has reached its worker now ends the runs that it was handed, also once its leases have lapsed, and a wait ends as the next session under its id does, whose own wait then counts. What waited for an executor whose machine was given to another ends at once, as its other runs do.

--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -56,6 +56,7 @@
         self._sessions: dict[ids.ExecutorId, session.Session] = {}
         self.first_listings = trio.CapacityLimiter(MAX_FIRST_LISTINGS)
         self._replaced: dict[ids.ExecutorId, late_starts.Replaced] = {}
+        self._waits: dict[ids.ExecutorId, trio.CancelScope] = {}
         self._successors: dict[ids.ExecutorId, executor_entries.ExecutorEntry] = {}
         self._by_machine: dict[ids.MachineId, set[session.Session]] = {}
 
@@ -273,6 +274,8 @@
         self._by_machine[ended.machine].discard(ended)
         replaced = ended.close()
         if ending is session.Ending.MACHINE_REUSED:
+            for start in replaced.starts:
+                self._term.post(functools.partial(late_starts.end_as_lost, start=start))
             replaced = replaced._replace(starts=())
         self._replaced[executor] = replaced
         unanswered = {(start.key, start.run) for start in replaced.starts}
@@ -280,23 +283,28 @@
         if ending is not session.Ending.LAPSED:
             loss = losses.Loss.LEFT if ended.entry.is_draining else losses.Loss.CRASHED
         self._term.post(lambda state: _remove_worker(state, ended.worker, unanswered, loss))
+        # The starts of an earlier wait have passed to the session that has just ended.
+        if executor in self._waits:
+            self._waits.pop(executor).cancel()
         if unanswered:
-            self._nursery.start_soon(self._end_unanswered, executor, replaced)
+            wait = self._waits[executor] = trio.CancelScope()
+            self._nursery.start_soon(self._end_unanswered, executor, replaced, wait)
         successor = self._successors.pop(executor, None)
         if successor is not None:
             self._open_session(successor)
 
     async def _end_unanswered(
-        self, executor: ids.ExecutorId, replaced: late_starts.Replaced
+        self, executor: ids.ExecutorId, replaced: late_starts.Replaced, wait: trio.CancelScope
     ) -> None:
         """End runs that no later incarnation has answered for, once none can run any more."""
         late_run_s = run_lease.late_run_s(self._term.max_run_lease_s)
-        await trio.sleep(max(0.0, replaced.sent_s + late_run_s - clock.boot_s()))
-        for start in replaced.starts:
-            current = self._sessions.get(executor)
-            # A session that lists the run renews its lease until the run has been stopped.
-            if current is None or not current.has_late_run(start):
-                self._term.post(functools.partial(late_starts.end_as_lost, start=start))
+        with wait:
+            await trio.sleep(max(0.0, replaced.sent_s + late_run_s - clock.boot_s()))
+            for start in replaced.starts:
+                current = self._sessions.get(executor)
+                # Its renewals may have extended the run.
+                if current is None or not current.has_late_run(start):
+                    self._term.post(functools.partial(late_starts.end_as_lost, start=start))
 
 
 def _add_worker(state: State, entry: executor_entries.ExecutorEntry) -> None:
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -158,8 +158,9 @@
         return min(max(self._lease.sent_s(), earlier_s), over_s)
 
     def has_late_run(self, start: model.Start) -> bool:
-        """Return whether this incarnation has listed the run of a start to an earlier one."""
-        return self._has_listing and (start.key, start.run) in self._unanswered
+        """Return whether this session, which has reached its worker, ends the run of a start."""
+        run = (start.key, start.run)
+        return self._lease.is_clock_known and run in self._unanswered.keys() | self._kept.keys()
 
     async def _renew_leases(self) -> None:
         """Renew the run leases until the incarnation is over.
