A request that was just read is answered at the end of a drain

Found in review of the drain's end: a read that finds bytes at once hands them over one turn of the loop later. Now only the wait for bytes is cancelled; a read that has some returns them.

A connection of the backlog that its peer has aborted no longer ends the emptying of the backlog.

--- a/src/bronzequay/net/listener.py
+++ b/src/bronzequay/net/listener.py
@@ -62,7 +62,9 @@
             while True:
                 try:
                     sock, peer = self._sock.accept()
-                except OSError:
+                except ConnectionAbortedError:
+                    continue
+                except OSError:  # none is left, or no file descriptor
                     return
                 yield _stream(trio.socket.from_stdlib_socket(sock)), peer[0]
 
--- a/src/bronzequay/net/server.py
+++ b/src/bronzequay/net/server.py
@@ -65,6 +65,7 @@
 class _Connection:
     """One connection with what was received on it.
 
+    :ivar receiving: surrounds the read that is in progress or was the last
     :ivar is_waiting: whether a complete request has not been handled yet
     :ivar is_sending: whether a part of a response may have been sent
     """
@@ -78,6 +79,7 @@
         self.stream = stream
         self.account = account
         self.reader = framing.RequestReader(read_limits)
+        self.receiving = trio.CancelScope()
         self.is_waiting = False
         self.is_sending = False
 
@@ -178,7 +180,8 @@
             await trio.sleep(LAST_REQUEST_S)
             for conn in self._conns:
                 if conn.is_idle:
-                    conn.account.scope.cancel()
+                    # Ends a wait for bytes, not a read that already has some.
+                    conn.receiving.cancel()
             while self._conns:  # noqa: ASYNC110  # as in ``wait_idle``
                 await trio.sleep(IDLE_POLL_S)
 
@@ -252,7 +255,9 @@
                 deadline_s = account.scope.deadline = trio.current_time() + timeout_s
             else:
                 account.scope.deadline = deadline_s
-            data = bytes(await conn.stream.receive_some(READ_BYTES))
+            data = b""
+            with trio.CancelScope() as conn.receiving:
+                data = bytes(await conn.stream.receive_some(READ_BYTES))
             # Waiting for the turn, for memory and for the handler has time limits of its own.
             account.scope.deadline = math.inf
             if not data:
