A cancellation whose records cannot be read back is not reported as not run

A caller that cancelled a running job and an archived one in one call could be told STORE_UNAVAILABLE, "not run", after the running job's cancellation was durable.

The answer is now OUTCOME_UNKNOWN.

--- a/src/bronzequay/sched/scheduler.py
+++ b/src/bronzequay/sched/scheduler.py
@@ -148,7 +148,13 @@
                 nursery.start_soon(_apply_or_collect, failures, term, model.JobCancelled(job))
         if failures:
             raise failures[0]
-        return tuple([_require_record(await _find_record(term, job), job) for job in job_ids])
+        try:
+            return tuple(
+                [_require_record(await term.job_journal.find(job), job) for job in job_ids]
+            )
+        except errors.BronzequayError as exc:
+            message = f"the jobs may be cancelled: cannot read their records: {exc.message}"
+            raise errors.BronzequayError(codes.ResultCode.OUTCOME_UNKNOWN, message) from exc
 
     async def get(self, job: ids.JobId) -> model.JobRecord:
         """Return a job's durable record.
--- a/tests/sched/test_archive.py
+++ b/tests/sched/test_archive.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import pytest
 import trio
@@ -131,3 +131,30 @@
     assert caught.value.code is codes.ResultCode.KEY_REUSED
     assert [entry.job for entry in await instance.scheduler.list()] == [first.job]
     assert len(harness.events(await fleet.log(), "release")) == 1
+
+
+async def test_a_cancellation_whose_records_cannot_be_read_back_is_not_reported_as_not_run(
+    autojump_clock: testing.MockClock, nursery: trio.Nursery, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(journal, "ARCHIVE_THRESHOLD_BYTES", 100)
+    fleet = harness.Fleet()
+    instance = harness.Instance(fleet, "i1")
+    nursery.start_soon(instance.run)
+    await harness.wait_until(lambda: instance.scheduler.is_active)
+    archived = await instance.scheduler.submit(harness.spec(declared_s=1.0), key=None)
+    await trio.sleep(5.0)
+    assert any("/archive/" in key for key in fleet.store.entries)
+    live = await instance.scheduler.submit(harness.spec(declared_s=1e6), key=None)
+    await harness.wait_for_state(instance.scheduler, live.job, [model.JobState.RUNNING])
+    get, writes = instance.store.get, fleet.store.writes
+
+    async def get_until_cancelled(key: str, *, purpose: Any) -> memory.Entry | None:
+        if fleet.store.writes > writes:
+            raise memory.store_error(codes.ResultCode.STORE_TIMEOUT)
+        return await get(key, purpose=purpose)
+
+    monkeypatch.setattr(instance.store, "get", get_until_cancelled)
+    with pytest.raises(errors.BronzequayError) as caught:
+        await instance.scheduler.cancel([live.job, archived.job])
+    assert caught.value.code is codes.ResultCode.OUTCOME_UNKNOWN
+    await harness.wait_for_state(instance.scheduler, live.job, [model.JobState.CANCELLED])
