A job command is answered within 8 s also if an attempt hangs

Cause: the deadline was checked between attempts only. One attempt may take 12 s to look up the scheduler in the store and 6 s to call it; on the active scheduler it also reads the job archive.

Each attempt now ends at the deadline. It was not run (NO_SCHEDULER) if it is cut off in the lookup and no earlier attempt may have run, since nothing was sent. Otherwise the answer is OUTCOME_UNKNOWN. The address is dropped, as after a call without an answer.

--- a/src/bronzequay/sched/gateway.py
+++ b/src/bronzequay/sched/gateway.py
@@ -182,14 +182,12 @@
         local: Callable[[], Awaitable[T]],
         reply_type: type[T],
     ) -> T:
-        """Retry until answered or timed out; commands are idempotent."""
+        """Retry until answered or ``COMMAND_TIMEOUT_S`` have passed; commands are idempotent."""
         deadline_s = trio.current_time() + COMMAND_TIMEOUT_S
         may_have_run = False
         while True:
             try:
-                if self._scheduler.is_active:
-                    return await local()
-                return await self._forward(name, body, reply_type, CALL_TIMEOUT_S)
+                return await self._attempt_command(name, body, local, reply_type, deadline_s)
             except errors.BronzequayError as exc:
                 may_have_run = may_have_run or exc.code in _UNKNOWN_OUTCOME_CODES
                 is_past_deadline = trio.current_time() + RETRY_INTERVAL_S >= deadline_s
@@ -200,6 +198,34 @@
                     raise _final_error(exc, may_have_run=may_have_run) from exc
             await trio.sleep(RETRY_INTERVAL_S)
 
+    async def _attempt_command(
+        self,
+        name: str,
+        body: Submit | Cancel,
+        local: Callable[[], Awaitable[T]],
+        reply_type: type[T],
+        deadline_s: float,
+    ) -> T:
+        """Try once; a command that is cut off before the scheduler's address is known was not run.
+
+        :raises errors.BronzequayError: NO_SCHEDULER or OUTCOME_UNKNOWN at the deadline, or the
+            error of the attempt
+        """
+        error = errors.BronzequayError(
+            codes.ResultCode.NO_SCHEDULER,
+            "not run: the active scheduler could not be located in time",
+            retry_after_s=scheduler_locator.RETRY_AFTER_S,
+        )
+        with trio.move_on_at(deadline_s):
+            if not self._scheduler.is_active:
+                address = await self._locator.address()
+                error = _unknown_outcome_error()
+                return await self._call(address, name, body, reply_type, CALL_TIMEOUT_S)
+            error = _unknown_outcome_error()
+            return await local()
+        self._locator.invalidate()
+        raise error
+
     async def _run_query(
         self,
         name: str,
@@ -211,16 +237,16 @@
         try:
             if self._scheduler.can_answer:
                 return await local()
-            return await self._forward(name, body, reply_type, QUERY_TIMEOUT_S)
+            address = await self._locator.address()
+            return await self._call(address, name, body, reply_type, QUERY_TIMEOUT_S)
         except errors.BronzequayError as exc:
             if exc.code not in _STALE_ADDRESS_CODES:
                 raise
         return await fallback()
 
-    async def _forward(
-        self, name: str, body: msgspec.Struct, reply_type: type[T], timeout_s: float
+    async def _call(
+        self, address: str, name: str, body: msgspec.Struct, reply_type: type[T], timeout_s: float
     ) -> T:
-        address = await self._locator.address()
         content = msgspec.msgpack.encode(body)
         try:
             reply = await self._mesh.call(
@@ -265,9 +291,13 @@
 def _final_error(exc: errors.BronzequayError, *, may_have_run: bool) -> errors.BronzequayError:
     """Return OUTCOME_UNKNOWN in place of a refusal if an earlier attempt may have taken effect."""
     if may_have_run and exc.code in _NOT_RUN_CODES | _UNKNOWN_OUTCOME_CODES:
-        message = "no scheduler confirmed the change; it may have taken effect"
-        return errors.BronzequayError(codes.ResultCode.OUTCOME_UNKNOWN, message)
+        return _unknown_outcome_error()
     return exc
 
 
+def _unknown_outcome_error() -> errors.BronzequayError:
+    message = "no scheduler confirmed the change; it may have taken effect"
+    return errors.BronzequayError(codes.ResultCode.OUTCOME_UNKNOWN, message)
+
+
 __all__ = ["Gateway"]
--- a/tests/sched/test_gateway.py
+++ b/tests/sched/test_gateway.py
@@ -1,17 +1,20 @@
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import pytest
 import trio
 
 from bronzequay import codes, errors, ids
 from bronzequay.policy import model
+from bronzequay.sched import gateway as gateways
 from tests.sched import harness, members
 
 if TYPE_CHECKING:
     from trio import testing
 
+ANSWER_MARGIN_S = 0.1
+
 
 class Cluster:
     """Three instances; the first one becomes active."""
@@ -42,6 +45,12 @@
     return caught.value.code
 
 
+async def code_in_time(gateway: gateways.Gateway) -> codes.ResultCode:
+    """Return the code that refuses a submission, which must come by the commands' deadline."""
+    with trio.fail_after(gateways.COMMAND_TIMEOUT_S + ANSWER_MARGIN_S):
+        return await code_of(gateway.submit(harness.spec(), key=None))
+
+
 async def test_any_instance_accepts_commands_and_queries(
     autojump_clock: testing.MockClock, cluster: Cluster, nursery: trio.Nursery
 ) -> None:
@@ -79,6 +88,59 @@
     assert len(await cluster.instances[2].gateway.list()) == 1
 
 
+async def test_a_command_whose_lookup_hangs_is_refused_as_not_run_in_time(
+    autojump_clock: testing.MockClock, cluster: Cluster, nursery: trio.Nursery
+) -> None:
+    await cluster.start(nursery)
+    cluster.instances[1].gate.delay_s = 60.0
+    code = await code_in_time(cluster.instances[1].gateway)
+    assert code is codes.ResultCode.NO_SCHEDULER
+    await trio.sleep(60.0)
+    assert not await cluster.instances[0].gateway.list()
+
+
+async def test_a_command_whose_answer_is_lost_after_a_slow_lookup_is_unknown_in_time(
+    autojump_clock: testing.MockClock, cluster: Cluster, nursery: trio.Nursery
+) -> None:
+    await cluster.start(nursery)
+    cluster.instances[1].gate.delay_s = 5.0
+    cluster.mesh.cut_links.add(("mesh://i1", "mesh://i2"))
+    code = await code_in_time(cluster.instances[1].gateway)
+    assert code is codes.ResultCode.OUTCOME_UNKNOWN
+    assert len(await cluster.instances[0].gateway.list()) == 1
+
+
+async def test_a_command_whose_second_lookup_hangs_after_a_lost_answer_is_unknown_in_time(
+    autojump_clock: testing.MockClock, cluster: Cluster, nursery: trio.Nursery
+) -> None:
+    await cluster.start(nursery)
+    await cluster.instances[1].gateway.list()
+    cluster.mesh.cut_links.add(("mesh://i1", "mesh://i2"))
+    cluster.instances[1].gate.delay_s = 60.0
+    code = await code_in_time(cluster.instances[1].gateway)
+    assert code is codes.ResultCode.OUTCOME_UNKNOWN
+    assert len(await cluster.instances[0].gateway.list()) == 1
+
+
+async def test_a_command_that_hangs_on_the_active_instance_is_unknown_in_time(
+    autojump_clock: testing.MockClock,
+    cluster: Cluster,
+    nursery: trio.Nursery,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    await cluster.start(nursery)
+    active = cluster.instances[0]
+    submit = active.scheduler.submit
+
+    async def record_and_hang(*args: Any, **kwargs: Any) -> None:
+        await submit(*args, **kwargs)
+        await trio.sleep_forever()
+
+    monkeypatch.setattr(active.scheduler, "submit", record_and_hang)
+    assert await code_in_time(active.gateway) is codes.ResultCode.OUTCOME_UNKNOWN
+    assert len(await active.gateway.list()) == 1
+
+
 async def test_without_a_scheduler_submissions_are_refused_and_reads_still_work(
     autojump_clock: testing.MockClock, cluster: Cluster, nursery: trio.Nursery
 ) -> None:
