--- a/src/bronzequay/control/late_starts.py
+++ b/src/bronzequay/control/late_starts.py
@@ -26,12 +26,12 @@
 
     :param starts: unanswered starts
     :param sent: deadlines of their run leases
-    :param sent_s: boot clock when the last call was sent that can begin or extend one of the runs
+    :param last_call_s: boot clock when the last call ended that can begin or extend one of the runs
     """
 
     starts: tuple[model.Start, ...] = ()
     sent: run_lease.Sent = run_lease.Sent()
-    sent_s: float = float("-inf")
+    last_call_s: float = float("-inf")
 
 
 def by_run(starts: Iterable[model.Start]) -> LateStarts:
--- a/src/bronzequay/control/run_lease.py
+++ b/src/bronzequay/control/run_lease.py
@@ -56,11 +56,11 @@
     """Deadlines that a term has sent to the incarnations under one id.
 
     :param latest_deadline_ms: the latest of them, each on the clock of its incarnation
-    :param at_s: boot clock when the last call with one ended
+    :param ended_s: boot clock when the last call with one ended
     """
 
     latest_deadline_ms: float = 0.0
-    at_s: float = float("-inf")
+    ended_s: float = float("-inf")
 
 
 class RunLease:
@@ -119,11 +119,11 @@
             yield
         finally:
             self._calls -= 1
-            self.sent = self.sent._replace(at_s=clock.boot_s())
+            self.sent = self.sent._replace(ended_s=clock.boot_s())
 
-    def sent_s(self) -> float:
-        """Return the boot time when a deadline was last sent, as far as known."""
-        return clock.boot_s() if self._calls else self.sent.at_s
+    def last_call_s(self) -> float:
+        """Return the boot time when the last call with a deadline ended, now if one has not."""
+        return clock.boot_s() if self._calls else self.sent.ended_s
 
     def grant_start_ms(self) -> float:
         """Return the end of the lease for a start that is about to be sent, and count it."""
@@ -218,7 +218,7 @@
         settled_s = CONTACT_S + MAX_ORDER_DELAY_S + lease_s
         return not self.were_granted or self._majority_age_s(service) > settled_s
 
-    def sent_s(self, service: ids.ServiceId) -> float:
+    def last_call_s(self, service: ids.ServiceId) -> float:
         """Return the boot time after which earlier terms send no calls that matter here.
 
         As long as this term has not reached a majority, they may still send some.
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -146,16 +146,16 @@
             | self._unanswered
             | self._kept
         )
-        return late_starts.Replaced(tuple(starts.values()), self._lease.sent, self._sent_s())
+        return late_starts.Replaced(tuple(starts.values()), self._lease.sent, self._last_call_s())
 
-    def _sent_s(self) -> float:
+    def _last_call_s(self) -> float:
         """Return when this term or an earlier one last sent a call that can matter to a run here.
 
         A later session under the same id counts its own calls.
         """
-        earlier_s = self._term.earlier_leases.sent_s(self.service)
+        earlier_s = self._term.earlier_leases.last_call_s(self.service)
         over_s = self._lapsed_s if self._is_lost else clock.boot_s()
-        return min(max(self._lease.sent_s(), earlier_s), over_s)
+        return min(max(self._lease.last_call_s(), earlier_s), over_s)
 
     def has_late_run(self, start: model.Start) -> bool:
         """Return whether this session, which has reached its worker, ends the run of a start."""
@@ -324,7 +324,7 @@
 
     def _end_kept_runs(self, state: State) -> None:
         kept_s = run_lease.late_run_s(self._term.max_run_lease_s)
-        if self._is_lost and clock.boot_s() - self._sent_s() > kept_s:
+        if self._is_lost and clock.boot_s() - self._last_call_s() > kept_s:
             while self._kept:
                 late_starts.end_as_lost(state, self._kept.popitem()[1])
 
