A crash is counted before the runs of a reused machine end

Cause: ends what was kept for an executor whose machine was given to another, and did so before the loss of the executor was recorded, so that no crash was counted and tasks that crash their workers were started without limit.

--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -273,16 +273,17 @@
         del self._sessions[executor]
         self._by_machine[ended.machine].discard(ended)
         replaced = ended.close()
+        refused: tuple[model.Start, ...] = ()
         if ending is session.Ending.MACHINE_REUSED:
-            for start in replaced.starts:
-                self._term.post(functools.partial(late_starts.end_as_lost, start=start))
-            replaced = replaced._replace(starts=())
+            refused, replaced = replaced.starts, replaced._replace(starts=())
         self._replaced[executor] = replaced
         unanswered = {(start.key, start.run) for start in replaced.starts}
         loss = losses.Loss.LAPSED
         if ending is not session.Ending.LAPSED:
             loss = losses.Loss.LEFT if ended.entry.is_draining else losses.Loss.CRASHED
         self._term.post(lambda state: _remove_worker(state, ended.worker, unanswered, loss))
+        for start in refused:
+            self._term.post(functools.partial(late_starts.end_as_lost, start=start))
         # The starts of an earlier wait have passed to the session that has just ended.
         if executor in self._waits:
             self._waits.pop(executor).cancel()
