What a session hands on counts a call that is still in progress

There is one figure now, the end of the last call that matters, which both the wait and the next session use.

--- a/src/bronzequay/control/late_starts.py
+++ b/src/bronzequay/control/late_starts.py
@@ -25,13 +25,11 @@
     """What a term has sent to incarnations of an executor that are over.
 
     :param starts: unanswered starts
-    :param sent: deadlines of their run leases
-    :param last_call_s: boot clock when the last call ended that can begin or extend one of the runs
+    :param sent: deadlines of their run leases; no later call can begin or extend one of the runs
     """
 
     starts: tuple[model.Start, ...] = ()
     sent: run_lease.Sent = run_lease.Sent()
-    last_call_s: float = float("-inf")
 
 
 def by_run(starts: Iterable[model.Start]) -> LateStarts:
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -300,7 +300,7 @@
         """End runs that no later incarnation has answered for, once none can run any more."""
         late_run_s = run_lease.late_run_s(self._term.max_run_lease_s)
         with wait:
-            await trio.sleep(max(0.0, replaced.last_call_s + late_run_s - clock.boot_s()))
+            await trio.sleep(max(0.0, replaced.sent.ended_s + late_run_s - clock.boot_s()))
             for start in replaced.starts:
                 current = self._sessions.get(executor)
                 # Its renewals may have extended the run.
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -146,13 +146,11 @@
             | self._unanswered
             | self._kept
         )
-        return late_starts.Replaced(tuple(starts.values()), self._lease.sent, self._last_call_s())
+        sent = self._lease.sent._replace(ended_s=self._last_call_s())
+        return late_starts.Replaced(tuple(starts.values()), sent)
 
     def _last_call_s(self) -> float:
-        """Return when this term or an earlier one last sent a call that can matter to a run here.
-
-        A later session under the same id counts its own calls.
-        """
+        """Return when this term or an earlier one last sent a call that can matter to a run here."""
         earlier_s = self._term.earlier_leases.last_call_s(self.service)
         over_s = self._lapsed_s if self._is_lost else clock.boot_s()
         return min(max(self._lease.last_call_s(), earlier_s), over_s)
--- /dev/null
+++ b/tests/control/test_review3.py
@@ -0,0 +1,97 @@
+"""Faults that a review of starts, questions and waits has found; each test fails for one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from bronzequay.fakes import tasks
+from bronzequay.platform import workers
+
+if TYPE_CHECKING:
+    import pytest
+    from trio.testing import MockClock
+
+    from bronzequay.net import server
+    from tests.control.site import Site
+
+CLOCK_MS = 1_000_000.0
+BACK_MS = 8_000.0
+"""How far the next life's clock is behind: less than 2% of it, so that its answer passes."""
+QUESTION_S = 0.45
+"""Time until the worker answers whether it is there; below the timeout of the question."""
+FREEZE_S = 12.0
+LATE_S = 12.0
+"""Longest time after which a call without an answer is carried out."""
+
+
+async def test_the_next_session_counts_a_start_that_was_in_progress_as_the_former_one_ended(
+    autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch, site: Site
+) -> None:
+    """Guards against a second run after a suspension during a start whose worker restarts.
+
+    The former session ends during the start; it counts that in its own wait, but hands on the time
+    of the call before. The next session, which reaches nobody, frees the task by that time.
+    """
+    executor = site.add_executor(1)
+    executor.beats = True
+    site.start_scheduler("a")
+    await site.wait_until(site.leader)
+    await trio.sleep(20.0)
+    is_restarted = is_cut = False
+
+    async def handle(req: server.Request) -> server.Response:
+        nonlocal is_cut
+        if is_cut:
+            await trio.sleep_forever()
+        if req.path == "/hold" and b'"deadlineMs"' not in req.body:
+            await trio.sleep(QUESTION_S)
+            if is_restarted:
+                # The next life answers a call of the former session, and nothing after that.
+                is_cut = True
+                site.nursery.start_soon(list_next)
+        return await executor.handle(req)
+
+    async def list_next() -> None:
+        await trio.sleep(0.1)
+        executor.list_entry()
+
+    async def restart() -> None:
+        nonlocal is_restarted
+        await trio.sleep(0.02)
+        former = executor.entry(born_ms=executor.born_ms)
+        site.crash(executor)
+        # The next life's entry arrives a little later.
+        site.kv.put(f"servers/{executor.name}", former)
+        executor.beats = False
+        executor.boot()
+        site.network.hosts[executor.address] = handle
+        is_restarted = True
+
+    send, is_frozen = workers.OrderClient.start, False
+
+    async def send_after_suspension(
+        self: workers.OrderClient, *args: Any, **kwargs: Any
+    ) -> workers.Reply:
+        nonlocal is_frozen
+        if not is_frozen:
+            is_frozen = True
+            monkeypatch.setattr("bronzequay.clock.boot_s", lambda: trio.current_time() + FREEZE_S)
+            executor.unanswered_calls["/run-start"] = 1
+            executor.late_effect_s, executor.late_effect_survives_restart = LATE_S, True
+            site.nursery.start_soon(restart)
+        return await send(self, *args, **kwargs)
+
+    monkeypatch.setattr(workers.OrderClient, "start", send_after_suspension)
+    site.network.hosts[executor.address] = handle
+    executor.unanswered_calls["/hold"] = 1
+    await site.wait_until(lambda: not executor.unanswered_calls["/hold"])
+    # The renewal times out, and a call that renews nothing follows, before the start is sent.
+    await trio.sleep(1.85)
+    site.submit(plan=tasks.Plan(run_s=60.0))
+    await site.wait_until(lambda: is_restarted, timeout_s=3.0)
+    site.add_executor(2).beats = True
+    await trio.sleep(45.0)
+    assert any(run == 2 for _, run in site.events("start"))
+    site.check_runs()
