A question holds its own result, and is asked again if a start had to wait after it

Another start that asked at once reset the result before those who had waited had read it: their starts were withheld. And a start that waited for fresh copies of the store's keys after its question was sent although its worker had been cut off meanwhile.

--- a/src/bronzequay/control/contact.py
+++ b/src/bronzequay/control/contact.py
@@ -27,6 +27,14 @@
 """Timeout of the question, as of an order."""
 
 
+class _Question:
+    """A call whose result counts for all who wait for it."""
+
+    def __init__(self) -> None:
+        self.is_over = trio.Event()
+        self.has_answer = False
+
+
 class Contact:
     """Asks one incarnation of a worker, for all starts that wait for that, whether it answers.
 
@@ -44,8 +52,7 @@
         self._worker = worker
         self._client = client
         self._answer_age_s = answer_age_s
-        self._asking: trio.Event | None = None
-        self._has_answered = False
+        self._question: _Question | None = None
 
     def is_fresh(self) -> bool:
         """Return whether the worker has just answered its session."""
@@ -53,21 +60,22 @@
 
     async def ask(self) -> bool:
         """Return whether the worker answers this question, or its session meanwhile."""
-        if self._asking is not None:
-            await self._asking.wait()
-            return self._has_answered
-        self._asking, self._has_answered = trio.Event(), False
+        question = self._question
+        if question is not None:
+            await question.is_over.wait()
+            return question.has_answer
+        question = self._question = _Question()
         asked_s = clock.boot_s()
         try:
             reply = await self._client.hold(
                 last_seen_end=0, deadline_ms=None, wait_s=0.0, timeout_s=TIMEOUT_S
             )
             is_heard = self._answer_age_s() < clock.boot_s() - asked_s
-            self._has_answered = is_heard or self._is_here(reply)
+            question.has_answer = is_heard or self._is_here(reply)
         finally:
-            self._asking.set()
-            self._asking = None
-        return self._has_answered
+            self._question = None
+            question.is_over.set()
+        return question.has_answer
 
     def _is_here(self, reply: workers.Reply) -> bool:
         if reply.listing is None:
--- a/src/bronzequay/control/delivery.py
+++ b/src/bronzequay/control/delivery.py
@@ -8,7 +8,7 @@
 import structlog
 import trio
 
-from bronzequay import errors, figures
+from bronzequay import clock, errors, figures
 from bronzequay.control import contact, run_lease
 from bronzequay.core import advice, lifecycle, model, pacing, settling
 from bronzequay.platform import executor_entries, workers
@@ -154,9 +154,8 @@
         run = (command.key, command.run)
         may_have_started = False
         for _ in range(MAX_START_ATTEMPTS):
-            is_answering = await self._is_answering()
+            is_answering = await self._wait_until_startable()
             # Nothing waits between these checks and the call.
-            await self._term.wait_until_startable(self._worker)
             payload = self._term.payload_for(command)
             if payload is None:
                 return
@@ -184,12 +183,21 @@
                 return
         self._term.post(lambda state: lifecycle.abandon_start(state, command))
 
+    async def _wait_until_startable(self) -> bool:
+        """Wait until a start may be sent; return whether the worker has just answered."""
+        while True:
+            await self._term.wait_until_startable(self._worker)
+            is_answering = await self._is_answering()
+            answered_s = clock.boot_s()
+            await self._term.wait_until_startable(self._worker)
+            if not is_answering or clock.boot_s() - answered_s < contact.FRESH_S:
+                return is_answering
+
     async def _is_answering(self) -> bool:
         """Return whether the worker has just answered, or answers when asked.
 
         It is not asked if the start is withheld for another reason.
         """
-        await self._term.wait_until_startable(self._worker)
         if self._contact.is_fresh() or self._reason_to_withhold() is not None:
             return True
         asked_s = trio.current_time()
--- a/tests/control/test_review3.py
+++ b/tests/control/test_review3.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 import trio
 
+from bronzequay import ids
+from bronzequay.control import contact
 from bronzequay.fakes import tasks
-from bronzequay.platform import workers
+from bronzequay.platform import executor_entries, workers
 
 if TYPE_CHECKING:
     import pytest
@@ -26,6 +28,38 @@
 """Longest time after which a call without an answer is carried out."""
 
 
+async def test_an_answer_counts_for_those_who_waited_though_another_start_asks_at_once() -> None:
+    """Guards against starts withheld, and a worker marked silent, after it has answered.
+
+    Whoever waits reads the result a turn later; a start that arrives meanwhile has reset it.
+    """
+    worker = executor_entries.worker_id(ids.ExecutorId("i-1"), 1)
+    results: list[bool] = []
+
+    class Client:
+        async def hold(self, **_: Any) -> workers.Reply:
+            await trio.sleep(0.01)
+            listing = workers.Listing(clock_ms=1.0, started_ms=1, running=(), ended=())
+            return workers.Reply(workers.Outcome.OK, 1.0, listing)
+
+    asked = contact.Contact(worker, cast("workers.OrderClient", Client()), lambda: float("inf"))
+
+    async def ask() -> None:
+        results.append(await asked.ask())
+
+    async def ask_and_again() -> None:
+        await ask()
+        # In place of a start that arrives in the same turn of the event loop.
+        await ask()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask_and_again)
+        await trio.sleep(0.001)
+        nursery.start_soon(ask)
+        nursery.start_soon(ask)
+    assert results == [True] * 4
+
+
 async def test_the_next_session_counts_a_start_that_was_in_progress_as_the_former_one_ended(
     autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch, site: Site
 ) -> None:
@@ -95,3 +129,48 @@
     await trio.sleep(45.0)
     assert any(run == 2 for _, run in site.events("start"))
     site.check_runs()
+
+
+async def test_a_start_that_waited_after_the_question_is_sent_only_if_its_worker_still_answers(
+    autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch, site: Site
+) -> None:
+    """Guards against a start to a worker that has gone silent since it was asked.
+
+    The copies that starts need become too old during the question and are read 1.5 s later.
+    """
+    executor = site.add_executor(1)
+    executor.beats = True
+    site.start_scheduler("a")
+    await site.wait_until(site.leader)
+    await trio.sleep(20.0)
+    term = site.terms["a"]
+    ask, check = contact.Contact.ask, term._intake.cancels.check
+    monkeypatch.setattr(contact, "FRESH_S", 0.001)
+    asked_s: list[float] = []
+    sent_s: list[float] = []
+
+    async def ask_then_lose_copies(self: contact.Contact) -> bool:
+        has_answered = await ask(self)
+        if has_answered and not asked_s:
+            asked_s.append(trio.current_time())
+            until_s = trio.current_time() + 1.5
+            monkeypatch.setattr(
+                term._intake.cancels,
+                "check",
+                lambda: trio.current_time() > until_s and check(),
+            )
+            site.network.cut.add(("a", executor.address))
+        return has_answered
+
+    send = workers.OrderClient.start
+
+    async def note(self: workers.OrderClient, *args: Any, **kwargs: Any) -> workers.Reply:
+        sent_s.append(trio.current_time())
+        return await send(self, *args, **kwargs)
+
+    monkeypatch.setattr(contact.Contact, "ask", ask_then_lose_copies)
+    monkeypatch.setattr(workers.OrderClient, "start", note)
+    site.submit(plan=tasks.Plan(run_s=1.0))
+    await trio.sleep(5.0)
+    assert asked_s
+    assert [round(at_s - asked_s[0], 3) for at_s in sent_s if at_s - asked_s[0] > 0.6] == []
