--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -150,7 +150,7 @@
         return late_starts.Replaced(tuple(starts.values()), sent)
 
     def _last_call_s(self) -> float:
-        """Return when this term or an earlier one last sent a call that can matter to a run here."""
+        """Return when the last call ended by which any term can begin or extend a run here."""
         earlier_s = self._term.earlier_leases.last_call_s(self.service)
         over_s = self._lapsed_s if self._is_lost else clock.boot_s()
         return min(max(self._lease.last_call_s(), earlier_s), over_s)
