Review: a start that went unanswered runs again after its end was noted

Seen: the first of two starts of a task goes unanswered; the task ends done, its end is noted, its job is shown as completed. Its executor is cut off, crashes and starts again under its id, and carries out the first start: the task runs a second time. Disruption: orders are carried out late (applied_late), and an executor that is cut off crashes behind the cut and starts again (node_cut, reborn).

--- a/review/standins2/site_on_loopback.py
+++ b/review/standins2/site_on_loopback.py
@@ -203,7 +203,8 @@
 class Site:
     """A store, executors and entry instances.
 
-    :param folder: of the script, for its record
+    :param temp: folder of the instances' settings and logs
+    :ivar cut: names of the executors that get no calls
     """
 
     def __init__(self, nursery: trio.Nursery, record: Record, temp: pathlib.Path) -> None:
@@ -216,6 +217,7 @@
         self.store = Store(nursery.start_soon, seed=seed)
         self.world = World(self.store)
         self.world.record = record
+        self.cut: set[str] = set()
         self.store_port = free_ports(1)[0]
         self.instances: list[Instance] = []
 
@@ -273,7 +275,13 @@
         worker = self.world.add(f"e-{number}", f"127.0.0.1:{port}", rack=rack)
         worker.spawn = self.nursery.start_soon
         worker.beats = True
-        await self.listen(port, worker.handle)
+
+        async def handle(req: server.Request) -> server.Response:
+            if worker.name in self.cut:
+                await trio.sleep_forever()
+            return await worker.handle(req)
+
+        await self.listen(port, handle)
 
     async def ready(self, instance: Instance) -> int:
         """Ask an instance whether it is ready; return the status, 0 without an answer."""
