--- a/review/9/play.py
+++ b/review/9/play.py
@@ -22,9 +22,9 @@
 LATE_S = (1.0, 6.0)
 CONTACT_S = 3.0
 CANCEL_S = 3.0
-JOBS = 100
+JOBS = 200
 ACCEPTED = 200
-ACCEPTED_CANCELLED = 10
+ACCEPTED_CANCELLED = 20
 """One in this many of the accepted jobs is cancelled too, with and without the disturbance."""
 FIRST_STEP_S = 14.0
 """The second step then begins when the store has been without impairment for over 3 s."""
@@ -49,7 +49,7 @@
 
     async def request(number: int) -> None:
         job = world.new_job()
-        await trio.sleep(number * LOST_FOR_S / 2 / JOBS)
+        await trio.sleep(number * 0.9 * LOST_FOR_S / JOBS)
         first, second = world.draws.sample(world.instances, 2)
         status, _ = await world.call(first, "POST", job, job_body())
         if status == ACCEPTED and number % ACCEPTED_CANCELLED:
--- a/review/standins2/site_on_loopback.py
+++ b/review/standins2/site_on_loopback.py
@@ -86,10 +86,18 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports on which nothing listens now."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
+    """Return ports on which nothing listens now, below those of outgoing connections."""
+    socks: list[socket.socket] = []
+    for port in random.sample(range(10_000, 30_000), 1000):
+        sock = socket.socket()
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            sock.close()
+            continue
+        socks.append(sock)
+        if len(socks) == count:
+            break
     ports = [sock.getsockname()[1] for sock in socks]
     for sock in socks:
         sock.close()
