Log the majorities of services and the cancels of unknown jobs

Neither could be told apart from its other explanations: the log stated neither how many executors a term counts and reaches, nor that a cancel had found nothing. No change of logic.

--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -15,6 +15,8 @@
 from bronzequay.platform import executor_entries, workers
 
 if TYPE_CHECKING:
+    from collections.abc import Set as AbstractSet
+
     from bronzequay import ids
     from bronzequay.control.term import Term
     from bronzequay.core.state import State
@@ -36,6 +38,8 @@
 SUCCESSOR_TIMEOUT_S = 1.0
 """Timeout of a call to a later incarnation at a new address; an answer takes a few milliseconds."""
 SUCCESSOR_RETRY_S = 0.2
+MAJORITY_LOG_S = 5.0
+"""Time between two log entries on the services whose workers this term mostly does not reach."""
 
 _log = structlog.get_logger()
 
@@ -59,6 +63,7 @@
         self._waits: dict[ids.ExecutorId, trio.CancelScope] = {}
         self._successors: dict[ids.ExecutorId, executor_entries.ExecutorEntry] = {}
         self._by_machine: dict[ids.MachineId, set[session.Session]] = {}
+        self._majorities_logged_s = float("-inf")
 
     def services(self) -> set[ids.ServiceId]:
         """Return the services that have workers."""
@@ -75,6 +80,32 @@
         mates = mates or list(self._sessions.values())
         return sum(mate.is_in_contact for mate in mates) * 2 > len(mates)
 
+    def note_majorities(
+        self, earlier: run_lease.EarlierLeases, services: AbstractSet[ids.ServiceId]
+    ) -> None:
+        """Note the services of which this term has come to reach more than half of the workers.
+
+        :param services: services that are checked besides those of the workers
+        """
+        missing = earlier.without_majority(services | self.services())
+        for service in missing:
+            if self.reaches_majority(service):
+                earlier.on_majority(service)
+                _log.info("majority_reached", **self._describe_majority(service))
+        if missing and trio.current_time() >= self._majorities_logged_s + MAJORITY_LOG_S:
+            self._majorities_logged_s = trio.current_time()
+            for service in sorted(earlier.without_majority(missing)):
+                _log.warning("majority_missing", **self._describe_majority(service))
+
+    def _describe_majority(self, service: ids.ServiceId) -> dict[str, object]:
+        mates = [other for other in self._sessions.values() if other.service == service]
+        return {
+            "service": service,
+            "in_contact": sum(mate.is_in_contact for mate in mates),
+            "counted": len(mates),
+            "unlisted": sum(not mate.is_listed for mate in mates),
+        }
+
     def may_start(self, worker: ids.WorkerId) -> bool:
         """Return whether a worker is listed and not draining by its latest entry."""
         current = self._session_of(worker)
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -365,9 +365,7 @@
         """End the runs on workers that the store does not list once their leases have expired."""
         orphaned_tasks = self._state.orphaned_tasks
         services = {task.service for tasks in orphaned_tasks.values() for task in tasks.values()}
-        for service in self.earlier_leases.without_majority(services | self.roster.services()):
-            if self.roster.reaches_majority(service):
-                self.earlier_leases.on_majority(service)
+        self.roster.note_majorities(self.earlier_leases, services)
         for worker in list(orphaned_tasks):
             tasks = list(orphaned_tasks[worker].values())
             lost = [task for task in tasks if self._is_lost_with_earlier_leases(task)]
--- a/src/bronzequay/front/handler.py
+++ b/src/bronzequay/front/handler.py
@@ -211,6 +211,7 @@
             return _unavailable(503, exc)
         job_status = _visible_status(item, job_req)
         if job_status is None:
+            _log.info("cancel_of_unknown_job", job=job, is_stored=item is not None)
             return server.Response(410)
         if model.JobState(job_status.state) in model.FINAL_STATES:
             return server.Response(200)
