Earlier schedulers and the next one count the same workers

Cause: a scheduler that has lost the store renews run leases with more than half of the workers that it knows, and the next one waits for more than half of those that it knows. The sets differ. Lost executors that are still listed are counted and never answer; those whose entries are gone are not counted, so that both schedulers can have a majority (TWICE, found here).

Change: the workers that count are kept in the store. The next term also asks the earlier one's instance whether its process still holds the term, and a scheduler renews without the store for a minute at most, which bounds the wait.

The instance now starts again, as on the platform, and the bounds stay.

--- a/src/bronzequay/control/journal.py
+++ b/src/bronzequay/control/journal.py
@@ -9,13 +9,14 @@
 import trio
 
 from bronzequay import codec, codes, errors, ids
-from bronzequay.control import failures, keys, status
+from bronzequay.control import earlier_terms, failures, keys, status
 from bronzequay.core import explain, records
 from bronzequay.platform import kv, machines
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from bronzequay.control.lease import LeaderLease
     from bronzequay.core import upkeep
     from bronzequay.core.state import Job, State
     from bronzequay.platform.kv import Store
@@ -35,10 +36,21 @@
     """The most recent write of any term, stored under one key.
 
     :param number: number of the write within its term
+    :param instance: the instance that holds the term
+    :param address: ``IP:PORT`` of its own interface
+    :param earlier: earlier terms whose schedulers may still renew run leases
     """
 
     epoch: ids.Epoch
     number: int
+    instance: ids.InstanceId = ids.InstanceId("")
+    address: str = ""
+    earlier: tuple[earlier_terms.Holder, ...] = ()
+
+    def holders(self) -> tuple[earlier_terms.Holder, ...]:
+        """Return the terms that a later one has to know of."""
+        own = earlier_terms.Holder(self.epoch, self.instance, self.address)
+        return earlier_terms.shorten((*self.earlier, own))
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -59,28 +71,31 @@
     A write whose answer is lost is repeated: the condition on the head's revision lets it take
     effect at most once, and the head's number shows whether it did.
 
-    :param epoch: of the term
+    :param leader_lease: of the term
+    :ivar earlier: earlier terms that each write names for the next term
     """
 
-    def __init__(self, store: Store, epoch: ids.Epoch) -> None:
+    def __init__(self, store: Store, leader_lease: LeaderLease) -> None:
         self._store = store
-        self._head = Head(epoch, 0)
+        self.earlier: tuple[earlier_terms.Holder, ...] = ()
+        self._head = Head(leader_lease.epoch, 0, leader_lease.instance, leader_lease.address)
         self._rev = kv.ABSENT
         self._stored_states: dict[ids.JobId, str] = {}
         self._started_jobs: set[ids.JobId] = set()
         self._failures: tuple[failures.Failure, ...] = ()
 
-    async def fence_earlier_terms(self) -> bool:
+    async def fence_earlier_terms(self) -> None:
         """Write the head, so that the writes of earlier terms fail from now on.
 
-        :return: whether there was an earlier term
         :raises errors.BronzequayError: FENCED when a later term has begun
         """
         while True:
             item = await self._store.get(keys.HEAD)
-            epoch = _epoch_in(item)
-            if epoch >= self._head.epoch:
-                raise _fenced_error(epoch)
+            head = _head_in(item)
+            if head is not None and head.epoch >= self._head.epoch:
+                raise _fenced_error(head.epoch)
+            if item is not None:
+                self.earlier = (earlier_terms.UNKNOWN,) if head is None else head.holders()
             self._rev = kv.ABSENT if item is None else item.rev
             try:
                 await self._write(Change())
@@ -88,16 +103,16 @@
                 if exc.code is not codes.ResultCode.FENCED:
                     raise
             else:
-                return item is not None
+                return
 
     async def check_fenced(self) -> None:
         """Raise the error of a fenced term if a later one has written the journal.
 
         :raises errors.BronzequayError: FENCED, or the store cannot be read
         """
-        epoch = _epoch_in(await self._store.get(keys.HEAD))
-        if epoch > self._head.epoch:
-            raise _fenced_error(epoch)
+        head = _head_in(await self._store.get(keys.HEAD))
+        if head is not None and head.epoch > self._head.epoch:
+            raise _fenced_error(head.epoch)
 
     def add_stored(self, job: Job) -> None:
         """Record what the store holds of a job that was read from it."""
@@ -118,13 +133,16 @@
         self._failures = failures.add(self._failures, job, wall_s)
         await self._write(Change([kv.Put(keys.FAILURES, failures.encode(self._failures))]))
 
-    async def commit(self, state: State, orphaned_cancels: Iterable[ids.JobId]) -> None:
+    async def commit(
+        self, state: State, orphaned_cancels: Iterable[ids.JobId], puts: Iterable[kv.Put] = ()
+    ) -> None:
         """Make all changes of the core durable.
 
         :param orphaned_cancels: jobs that are not open and whose cancellations are to be removed
+        :param puts: further writes
         :raises errors.BronzequayError: FENCED when a later term has begun
         """
-        changes = []
+        changes = [Change([put]) for put in puts]
         for name in sorted(state.dirty_jobs):
             state.considered_job = name
             changes.append(self._job_change(state.jobs[name], state.wall_s))
@@ -184,7 +202,9 @@
 
     async def _write(self, change: Change) -> None:
         """Write one transaction; repeat it until it is known to have taken effect."""
-        head = Head(self._head.epoch, self._head.number + 1)
+        head = msgspec.structs.replace(
+            self._head, number=self._head.number + 1, earlier=self.earlier
+        )
         value = msgspec.msgpack.encode(head)
         puts = [kv.Put(keys.HEAD, value), *change.puts]
         timeout_s = FIRST_TIMEOUT_S
@@ -208,22 +228,22 @@
         self._head = head
 
 
-def _epoch_in(item: kv.Item | None) -> ids.Epoch:
-    """Return the epoch in the stored head, 0 when there is none or it is unreadable.
+def _head_in(item: kv.Item | None) -> Head | None:
+    """Return the stored head, None when there is none or it is unreadable.
 
     Epochs are revisions of the store, so a head is never written before its epoch.
     """
     if item is None or item.value is None:
-        return ids.Epoch(0)
+        return None
     try:
         head = codec.from_msgpack(item.value, Head)
     except msgspec.DecodeError as exc:
         _log.error("head_unreadable", revision=item.rev, error=str(exc))
-        return ids.Epoch(0)
+        return None
     if head.epoch > item.rev:
         _log.error("head_invalid", revision=item.rev, epoch=head.epoch)
-        return ids.Epoch(0)
-    return head.epoch
+        return None
+    return head
 
 
 def _wave_change(wave: upkeep.Wave) -> Change:
--- a/src/bronzequay/control/keys.py
+++ b/src/bronzequay/control/keys.py
@@ -9,6 +9,7 @@
 ROOT = "bronzequay/"
 LEADER = ROOT + "leader"
 HEAD = ROOT + "head"
+CENSUS = ROOT + "census"
 INBOX = ROOT + "in/"
 JOBS = INBOX + "job/"
 CANCELS = INBOX + "cancel/"
@@ -64,6 +65,7 @@
 __all__ = [
     "ADMISSION",
     "CANCELS",
+    "CENSUS",
     "FAILURES",
     "HEAD",
     "INBOX",
--- a/src/bronzequay/control/lease.py
+++ b/src/bronzequay/control/lease.py
@@ -24,6 +24,10 @@
 RETRY_S = 0.3
 CALL_TIMEOUT_S = 0.6
 """Timeout of a call of the campaign; a slow store takes 0.25 s."""
+MAX_UNCONFIRMED_S = 60.0
+"""Longest time without the store's confirmation of the lease for which the scheduler renews run
+leases, so that outages of up to a minute end no run. A later term that has no other proof waits for
+as long before it takes the work of workers out of its reach for lost."""
 
 _log = structlog.get_logger()
 
@@ -45,25 +49,38 @@
 
     :param lease_id: the store's id of the lease
     :param sent_s: boot clock when the grant was requested
+    :param instance: this instance
+    :param address: ``IP:PORT`` of its own interface
     :ivar epoch: increases from term to term; fences every order
+    :ivar requested_s: boot clock when the grant was requested
+    :ivar confirmed_s: boot clock when the latest renewal that was answered was sent
     :ivar is_lost: whether the lease was released or the store has ended it
     """
 
-    def __init__(self, lease_id: int, ttl_s: float, epoch: ids.Epoch, sent_s: float) -> None:
+    def __init__(  # noqa: PLR0917
+        self,
+        lease_id: int,
+        ttl_s: float,
+        epoch: ids.Epoch,
+        sent_s: float,
+        instance: ids.InstanceId,
+        address: str,
+    ) -> None:
         self.lease_id = lease_id
         self.ttl_s = ttl_s
         self.epoch = epoch
-        self._trusted_until_s = sent_s + ttl_s
+        self.instance, self.address = instance, address
+        self.requested_s = self.confirmed_s = sent_s
         self.is_lost = False
 
     @property
     def is_trusted(self) -> bool:
         """Return whether no other instance can hold the lease now."""
-        return not self.is_lost and clock.boot_s() < self._trusted_until_s
+        return not self.is_lost and clock.boot_s() < self.confirmed_s + self.ttl_s
 
     def extend(self, sent_s: float) -> None:
         """Trust the lease for its time to live from when its renewal was sent."""
-        self._trusted_until_s = max(self._trusted_until_s, sent_s + self.ttl_s)
+        self.confirmed_s = max(self.confirmed_s, sent_s)
 
 
 async def campaign(
@@ -134,7 +151,7 @@
             raise
         _log.info("lease_write_unanswered", lease=granted.lease, error=str(exc))
         rev = item.rev
-    return LeaderLease(granted.lease, granted.ttl_s, ids.Epoch(rev), sent_s)
+    return LeaderLease(granted.lease, granted.ttl_s, ids.Epoch(rev), sent_s, instance, address)
 
 
 async def _wait_until_free(store: Store, rev: ids.Revision) -> None:
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -15,8 +15,6 @@
 from bronzequay.platform import executor_entries, workers
 
 if TYPE_CHECKING:
-    from collections.abc import Set as AbstractSet
-
     from bronzequay import ids
     from bronzequay.control.term import Term
     from bronzequay.core.state import State
@@ -38,8 +36,6 @@
 SUCCESSOR_TIMEOUT_S = 1.0
 """Timeout of a call to a later incarnation at a new address; an answer takes a few milliseconds."""
 SUCCESSOR_RETRY_S = 0.2
-MAJORITY_LOG_S = 5.0
-"""Time between two log entries on the services whose workers this term mostly does not reach."""
 
 _log = structlog.get_logger()
 
@@ -50,6 +46,7 @@
     :param term: the term that the sessions belong to
     :param drain_s: time after the announcement of a drain from which a worker gets no starts
     :ivar entries: how old the workers' entries are
+    :ivar reached: executors that have answered this term, and so refuse the calls of earlier ones
     :ivar first_listings: limits the sessions that read their first listing at the same time
     """
 
@@ -58,53 +55,29 @@
         self._term = term
         self.entries = freshness.Freshness("worker_entries", drain_s)
         self._sessions: dict[ids.ExecutorId, session.Session] = {}
+        self.reached: set[ids.ExecutorId] = set()
         self.first_listings = trio.CapacityLimiter(MAX_FIRST_LISTINGS)
         self._replaced: dict[ids.ExecutorId, late_starts.Replaced] = {}
         self._waits: dict[ids.ExecutorId, trio.CancelScope] = {}
         self._successors: dict[ids.ExecutorId, executor_entries.ExecutorEntry] = {}
         self._by_machine: dict[ids.MachineId, set[session.Session]] = {}
-        self._majorities_logged_s = float("-inf")
 
     def services(self) -> set[ids.ServiceId]:
         """Return the services that have workers."""
         return {open_session.service for open_session in self._sessions.values()}
 
-    def reaches_majority(self, service: ids.ServiceId) -> bool:
-        """Return whether more than half of a service's workers accept this term's calls.
-
-        Each service counts by itself, so that entries of services which this term does not use do
-        not matter, and terms with different configurations agree. All workers count for a service
-        that has none.
-        """
-        mates = [other for other in self._sessions.values() if other.service == service]
-        mates = mates or list(self._sessions.values())
-        return sum(mate.is_in_contact for mate in mates) * 2 > len(mates)
-
-    def note_majorities(
-        self, earlier: run_lease.EarlierLeases, services: AbstractSet[ids.ServiceId]
-    ) -> None:
-        """Note the services of which this term has come to reach more than half of the workers.
+    def present(self) -> dict[ids.ServiceId, set[ids.ExecutorId]]:
+        """Return the executors of each service that are listed and have answered this term."""
+        present: dict[ids.ServiceId, set[ids.ExecutorId]] = {}
+        for executor, current in self._sessions.items():
+            if current.is_listed and executor in self.reached:
+                present.setdefault(current.service, set()).add(executor)
+        return present
 
-        :param services: services that are checked besides those of the workers
-        """
-        missing = earlier.without_majority(services | self.services())
-        for service in missing:
-            if self.reaches_majority(service):
-                earlier.on_majority(service)
-                _log.info("majority_reached", **self._describe_majority(service))
-        if missing and trio.current_time() >= self._majorities_logged_s + MAJORITY_LOG_S:
-            self._majorities_logged_s = trio.current_time()
-            for service in sorted(earlier.without_majority(missing)):
-                _log.warning("majority_missing", **self._describe_majority(service))
-
-    def _describe_majority(self, service: ids.ServiceId) -> dict[str, object]:
-        mates = [other for other in self._sessions.values() if other.service == service]
-        return {
-            "service": service,
-            "in_contact": sum(mate.is_in_contact for mate in mates),
-            "counted": len(mates),
-            "unlisted": sum(not mate.is_listed for mate in mates),
-        }
+    def is_executor_in_contact(self, executor: ids.ExecutorId) -> bool:
+        """Return whether an executor has recently answered a call of its session."""
+        current = self._sessions.get(executor)
+        return current is not None and current.is_in_contact
 
     def may_start(self, worker: ids.WorkerId) -> bool:
         """Return whether a worker is listed and not draining by its latest entry."""
@@ -275,6 +248,7 @@
 
     def on_first_listing(self, reached: session.Session) -> None:
         """End the sessions with earlier executors of a machine, one of which has just answered."""
+        self.reached.add(reached.entry.executor)
         started_s = reached.entry.spec.started_s
         for other in list(self._by_machine[reached.machine]):
             if other.entry.spec.started_s < started_s:
--- a/src/bronzequay/control/run_lease.py
+++ b/src/bronzequay/control/run_lease.py
@@ -10,9 +10,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
-    from collections.abc import Set as AbstractSet
 
-    from bronzequay import ids
 
 CONTACT_S = 3.0
 """Time after its last answer for which a worker counts as in contact. Later nothing that extends
@@ -24,9 +22,6 @@
 """Lowest rate of a worker's clock relative to this instance's."""
 MAX_ORDER_DELAY_S = 15.0
 """Time after which an unanswered order can no longer take effect; delays of up to 12 s occur."""
-SETTLED_EXPIRY_S = CONTACT_S + RUN_LEASE_S / MIN_CLOCK_RATE + 0.5
-"""Time from a term's first contact with more than half of a service's workers until the leases that
-earlier terms granted there have expired, unless a call reached a later incarnation."""
 
 
 def late_run_s(max_lease_s: float) -> float:
@@ -180,66 +175,12 @@
         }
 
 
-class EarlierLeases:
-    """Run leases that earlier terms granted on the workers that a term has not reached.
-
-    Soon after a term has reached more than half of a service's workers, an earlier one no longer
-    has contact with as many, and renews none. What that one has sent to an incarnation before may
-    still be carried out by the next one, whose lease then is longer.
-
-    :param max_lease_s: longest lease that a worker grants
-    :ivar were_granted: whether there was an earlier term
-    """
-
-    def __init__(self, max_lease_s: float) -> None:
-        self.were_granted = True
-        self._max_lease_s = max_lease_s
-        self._majority_s: dict[ids.ServiceId, float] = {}
-
-    def without_majority(self, services: AbstractSet[ids.ServiceId]) -> AbstractSet[ids.ServiceId]:
-        """Return the services of which this term has not reached more than half of the workers."""
-        return services - self._majority_s.keys()
-
-    def on_majority(self, service: ids.ServiceId) -> None:
-        """Note that more than half of a service's workers accept this term's calls now."""
-        self._majority_s[service] = clock.boot_s()
-
-    def have_expired(self, service: ids.ServiceId, *, is_settled: bool) -> bool:
-        """Return whether the leases have certainly expired.
-
-        :param is_settled: whether no call to an earlier incarnation can extend them any more
-        """
-        unsettled_s = CONTACT_S + late_run_s(self._max_lease_s)
-        return self._majority_age_s(service) > (SETTLED_EXPIRY_S if is_settled else unsettled_s)
-
-    def are_settled(self, service: ids.ServiceId) -> bool:
-        """Return whether calls of earlier terms can no longer extend leases, by their age alone."""
-        lease_s = (self._max_lease_s - RUN_LEASE_S) / MIN_CLOCK_RATE
-        settled_s = CONTACT_S + MAX_ORDER_DELAY_S + lease_s
-        return not self.were_granted or self._majority_age_s(service) > settled_s
-
-    def last_call_s(self, service: ids.ServiceId) -> float:
-        """Return the boot time after which earlier terms send no calls that matter here.
-
-        As long as this term has not reached a majority, they may still send some.
-        """
-        if not self.were_granted:
-            return float("-inf")
-        majority_s = self._majority_s.get(service)
-        return clock.boot_s() if majority_s is None else majority_s + CONTACT_S
-
-    def _majority_age_s(self, service: ids.ServiceId) -> float:
-        return clock.boot_s() - self._majority_s.get(service, float("inf"))
-
-
 __all__ = [
     "CONTACT_S",
     "MAX_ORDER_DELAY_S",
     "MIN_CLOCK_RATE",
     "RUN_LEASE_S",
-    "SETTLED_EXPIRY_S",
     "Basis",
-    "EarlierLeases",
     "RunLease",
     "Sent",
     "late_run_s",
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -151,7 +151,7 @@
 
     def _last_call_s(self) -> float:
         """Return when the last call ended by which any term can begin or extend a run here."""
-        earlier_s = self._term.earlier_leases.last_call_s(self.service)
+        earlier_s = self._term.earlier.last_call_s(self.service)
         over_s = self._lapsed_s if self._is_lost else clock.boot_s()
         return min(max(self._lease.last_call_s(), earlier_s), over_s)
 
@@ -258,7 +258,7 @@
         """Return whether the worker's run leases have certainly expired."""
         if not self._lease.is_clock_known:
             is_settled = self._term.is_settled(self.worker, self.service)
-            return self._term.earlier_leases.have_expired(self.service, is_settled=is_settled)
+            return self._term.earlier.have_expired(self.service, is_settled=is_settled)
         return self._lease.has_expired()
 
     def _on_no_answer(self) -> bool:
@@ -313,7 +313,7 @@
         too, if the record of the run does not say otherwise.
         """
         self._kept = self._unanswered | late_starts.by_run(self.delivery.unanswered_starts())
-        earlier = self._term.earlier_leases
+        earlier = self._term.earlier
         if not self._lease.is_clock_known and not earlier.have_expired(
             self.service, is_settled=False
         ):
@@ -385,7 +385,7 @@
         if is_first:
             self._kept = {}
             self._unanswered |= late_starts.of_orphans(state, self.worker)
-        if self._term.earlier_leases.have_expired(self.service, is_settled=False):
+        if self._term.earlier.have_expired(self.service, is_settled=False):
             settling.record_listed(state, worker, listed, self.delivery.unanswered_starts)
         late_starts.apply_listing(state, self._unanswered, listing, is_complete=is_complete)
         if is_first:
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -19,7 +19,7 @@
     late_starts,
     learned,
     roster,
-    run_lease,
+    succession,
     sweep,
     upkeep,
 )
@@ -75,7 +75,7 @@
     :param holdoff_s: time from the term's start for which machines get no orders
     :param retention_s: time for which a job's status is kept after the job's end
     :param has_admission: whether the waits of overloaded queues are published
-    :ivar earlier_leases: run leases that earlier terms granted
+    :ivar earlier: what is known of the schedulers of earlier terms
     """
 
     def __init__(
@@ -113,14 +113,15 @@
         self._upkeep = upkeep.Upkeep(store, self, machine_client, holdoff_s=holdoff_s)
         self._intake = intake.Intake(store, self, cancel_s=cancel_s)
         self._learned = learned.Learned(store, self)
-        self._journal = journal.Journal(store, leader_lease.epoch)
+        self._journal = journal.Journal(store, leader_lease)
         max_entry_age_s = MAX_MISSED_BEATS * beat_s + ENTRY_DELAY_S
         self._state = states.State(
             rules(), max_entry_age_s=max_entry_age_s, remote_factor=remote_factor
         )
         self._posts: list[tuple[StateChange, trio.Event]] = []
         self._wake = trio.Event()
-        self.earlier_leases = run_lease.EarlierLeases(max_run_lease_s)
+        self._succession = succession.Succession(store, leader_lease, max_run_lease_s)
+        self.earlier = self._succession.earlier
         self._fence_checked_s = float("-inf")
         self._last_pass_s = float("-inf")
         self._next_pass_s = 0.0
@@ -151,19 +152,14 @@
             await trio.sleep(TRUST_POLL_S)
 
     def may_renew_run_leases(self, service: ids.ServiceId) -> bool:
-        """Return whether the leases of tasks on a service's workers may be renewed.
-
-        Without a trusted leader lease this requires contact with more than half of these workers: a
-        later term that reaches as many has fenced this one on at least one of them.
-        """
-        leader_lease = self._lease
-        return leader_lease.is_trusted or (
-            not leader_lease.is_lost and self.roster.reaches_majority(service)
+        """Return whether the leases of tasks on a service's workers may be renewed."""
+        return self.is_trusted or self._succession.may_renew(
+            service, self.roster.is_executor_in_contact
         )
 
     def is_settled(self, worker: ids.WorkerId, service: ids.ServiceId) -> bool:
         """Return whether calls of earlier terms can no longer extend a worker's leases."""
-        return self.earlier_leases.are_settled(service) or settling.is_settled(self._state, worker)
+        return self.earlier.are_settled(service) or settling.is_settled(self._state, worker)
 
     def uncertain_starts(
         self, worker: ids.WorkerId, shown: AbstractSet[model.TaskKey]
@@ -290,7 +286,8 @@
 
     async def _run(self) -> None:
         self._read_clocks()
-        self.earlier_leases.were_granted = await self._journal.fence_earlier_terms()
+        await self._journal.fence_earlier_terms()
+        await self._succession.load(self._journal.earlier)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._upkeep.load, self._state)
             nursery.start_soon(self._intake.load, self._state, self._journal)
@@ -303,6 +300,7 @@
             nursery.start_soon(self.roster.run)
             nursery.start_soon(self._advisor.run)
             nursery.start_soon(self._upkeep.run)
+            nursery.start_soon(self._succession.run)
             nursery.start_soon(self._sweep)
             nursery.start_soon(self._learned.run)
             nursery.start_soon(self._tick)
@@ -334,7 +332,10 @@
             self._end_runs_on_absent_workers()
             self._schedule()
             orphaned, self._intake.orphaned_cancels = self._intake.orphaned_cancels, set()
-            await self._journal.commit(self._state, orphaned)
+            census = self._succession.next_census(self.roster.present)
+            self._journal.earlier = self._succession.unended()
+            await self._journal.commit(self._state, orphaned, census)
+            self._succession.on_stored()
             self._log_decisions()
             commands, self._state.commands = self._state.commands, []
             for command in commands:
@@ -365,7 +366,8 @@
         """End the runs on workers that the store does not list once their leases have expired."""
         orphaned_tasks = self._state.orphaned_tasks
         services = {task.service for tasks in orphaned_tasks.values() for task in tasks.values()}
-        self.roster.note_majorities(self.earlier_leases, services)
+        services |= self.roster.services()
+        self._succession.note_reached(services, self.roster.reached)
         for worker in list(orphaned_tasks):
             tasks = list(orphaned_tasks[worker].values())
             lost = [task for task in tasks if self._is_lost_with_earlier_leases(task)]
@@ -375,7 +377,7 @@
                 lifecycle.end_lost_runs(self._state, worker, kept)
 
     def _is_lost_with_earlier_leases(self, task: Task) -> bool:
-        return self.earlier_leases.have_expired(task.service, is_settled=task.is_settled)
+        return self.earlier.have_expired(task.service, is_settled=task.is_settled)
 
     def _read_clocks(self) -> None:
         self._state.now_s = trio.current_time()
--- a/src/bronzequay/node.py
+++ b/src/bronzequay/node.py
@@ -18,7 +18,7 @@
 from bronzequay.net import limits, server
 from bronzequay.obs import dump, log, loop_delay
 from bronzequay.own import queries
-from bronzequay.platform import kv, machines, settings
+from bronzequay.platform import instances, kv, machines, settings
 
 if TYPE_CHECKING:
     from bronzequay import ids
@@ -84,6 +84,7 @@
             explain=self._explain,
             dump=self._dump,
             analyst_token=own_settings["analyst_token"].value,
+            term_state=self._term_state,
         )
         self._query_server = server.Server(
             self._query_address,
@@ -136,6 +137,11 @@
     def _explain(self, job: ids.JobId) -> str | None:
         return None if self._term is None else self._term.explain(job)
 
+    def _term_state(self, epoch: ids.Epoch) -> instances.TermState:
+        """Tell a later scheduler whether this process may still send orders in a term."""
+        is_held = self._term is not None and self._term.epoch == epoch
+        return instances.TermState(self._cfg.instance, epoch, is_held)
+
     def _dump(self) -> dict[str, Any]:
         """Return this process's state for the state dump, without secrets."""
         return {
--- a/src/bronzequay/own/queries.py
+++ b/src/bronzequay/own/queries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hmac
+import re
 import urllib.parse
 from typing import TYPE_CHECKING, Any
 
@@ -15,6 +16,7 @@
 from bronzequay.net import client, server
 from bronzequay.obs import report, sheet
 from bronzequay.own import records
+from bronzequay.platform import instances
 from bronzequay.policy import model
 
 if TYPE_CHECKING:
@@ -29,6 +31,7 @@
 MAX_SHEET_LINES = 500
 SCHEDULER_TIMEOUT_S = 1.0
 """Timeout of a query to the scheduler for the reason why a job waits."""
+_EPOCH = re.compile(r"[0-9]{1,16}")
 FORWARDED = "forwarded"
 """Query parameter of a forwarded request, which is not forwarded again."""
 STATUSES = {
@@ -58,6 +61,7 @@
     :param configuration: watches the configuration, whose API keys identify organisations
     :param explain: returns why a job waits, None when this instance is not the scheduler
     :param dump: returns the process's state
+    :param term_state: returns whether this process holds a term
     :param analyst_token: gives access to every organisation's jobs; empty disables it
     """
 
@@ -69,12 +73,14 @@
         explain: Callable[[ids.JobId], str | None],
         dump: Callable[[], dict[str, Any]],
         analyst_token: str,
+        term_state: Callable[[ids.Epoch], instances.TermState],
     ) -> None:
         self._store = store
         self._configuration = configuration
         self._explain = explain
         self._dump = dump
         self._analyst_token = analyst_token
+        self._term_state = term_state
 
     async def handle(self, req: server.Request) -> server.Response:
         """Respond to one request."""
@@ -90,10 +96,9 @@
             raise errors.BronzequayError(
                 codes.ResultCode.METHOD_NOT_ALLOWED, f"{req.method} is not allowed; use GET"
             )
-        if req.path == "/metrics":
-            return _text(figures.render(), "text/plain")
-        if req.path == "/v1/state":
-            return _json(self._dump())
+        response = self._show_process(req.path)
+        if response is not None:
+            return response
         query = dict(urllib.parse.parse_qsl(req.query))
         org = self._identify(req)
         if req.path == JOBS:
@@ -104,6 +109,16 @@
             return await self._render_sheet(org, query)
         return await self._show_job(req, org, query)
 
+    def _show_process(self, path: str) -> server.Response | None:
+        """Return a page about this process, which needs no key; None if the path names none."""
+        if path == "/metrics":
+            return _text(figures.render(), "text/plain")
+        if path == "/v1/state":
+            return _json(self._dump())
+        if path.startswith(instances.TERMS):
+            return _json(self._term_state(_parse_epoch(path.removeprefix(instances.TERMS))))
+        return None
+
     async def _show_job(
         self, req: server.Request, org: ids.OrgId | None, query: dict[str, str]
     ) -> server.Response:
@@ -243,6 +258,12 @@
     return int(text)
 
 
+def _parse_epoch(text: str) -> ids.Epoch:
+    if not _EPOCH.fullmatch(text):
+        raise errors.BronzequayError(codes.ResultCode.NOT_FOUND, f"no such term: {text}")
+    return ids.Epoch(int(text))
+
+
 def _parse_time(text: str | None, default: float) -> float:
     try:
         return default if text is None else float(text)
--- a/tests/control/site.py
+++ b/tests/control/site.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 from typing import TYPE_CHECKING, Any
 
@@ -14,7 +15,7 @@
 from bronzequay.fakes import advice, executors, kv, machines, tasks
 from bronzequay.front import admission, config_watcher, handler
 from bronzequay.net import server
-from bronzequay.platform import config
+from bronzequay.platform import config, instances
 from bronzequay.platform import kv as stores
 from bronzequay.platform import machines as machine_calls
 from soak import invariants
@@ -26,6 +27,8 @@
     import pytest
 
 STORE = "10.0.0.1:80"
+OWN_ADDRESSES = "10.3.0.{}:70"
+"""Addresses of the instances' own interfaces."""
 DUTY_LEASE_S = 3.0
 CONFIG_S = 3.0
 CONFIG: dict[str, Any] = {
@@ -48,6 +51,7 @@
 
     :ivar scopes: cancel scope of each running instance
     :ivar terms: last term of each instance
+    :ivar held_terms: instances whose last term has not ended
     :ivar has_admission: whether instances publish waits and refuse jobs by them
     """
 
@@ -70,6 +74,7 @@
         self.has_admission = False
         self.scopes: dict[str, trio.CancelScope] = {}
         self.terms: dict[str, term.Term] = {}
+        self.held_terms: set[str] = set()
         self._jobs = 0
 
     def configure(self, wire: object) -> None:
@@ -140,15 +145,29 @@
     def kill(self, name: str) -> None:
         """Cancel an instance without releasing its leader lease."""
         self.scopes.pop(name).cancel()
+        self.network.hosts.pop(own_address(name), None)
+
+    async def _answer_about_terms(self, name: str, req: server.Request) -> server.Response:
+        """Answer on an instance's own interface whether it holds a term."""
+        epoch = ids.Epoch(int(req.path.rpartition("/")[2]))
+        current = self.terms.get(name)
+        is_held = current is not None and current.epoch == epoch and name in self.held_terms
+        state = instances.TermState(ids.InstanceId(name), epoch, is_held)
+        return server.Response(200, msgspec.json.encode(state))
 
     async def _schedule(self, name: str) -> None:
         SOURCE.set(name)
         store = stores.Store(STORE)
         configuration = config.decode(self.kv.get(config.KEY) or b"")
+        self.held_terms.discard(name)
+        address = own_address(name)
+        self.network.hosts[address] = functools.partial(self._answer_about_terms, name)
         with trio.CancelScope() as scope:
             self.scopes[name] = scope
             while True:
-                leader_lease = await lease.campaign(store, ids.InstanceId(name), ttl_s=lease.TTL_S)
+                leader_lease = await lease.campaign(
+                    store, ids.InstanceId(name), ttl_s=lease.TTL_S, address=address
+                )
                 try:
                     async with trio.open_nursery() as nursery:
                         nursery.start_soon(lease.renew_until_lost, store, leader_lease)
@@ -165,9 +184,10 @@
                             has_admission=self.has_admission,
                         )
                         self.terms[name] = current
+                        self.held_terms.add(name)
                         await current.run()
                 except* errors.BronzequayError:
-                    pass
+                    self.held_terms.discard(name)
 
     def leader(self) -> str | None:
         """Return the instance that holds the leader lease, None when none does."""
@@ -262,6 +282,11 @@
         assert invariants.RunChecker(self.world).check() == []
 
 
+def own_address(name: str) -> str:
+    """Return the address of an instance's own interface."""
+    return OWN_ADDRESSES.format(ord(name[0]))
+
+
 EIGHT_GPUS = model.Resources(1000, 1000, 8)
 ONE_GPU = model.Resources(1000, 1000, 1)
 
--- a/tests/control/test_contact.py
+++ b/tests/control/test_contact.py
@@ -104,12 +104,12 @@
     starts_s = await start_scheduler(site)
     is_renewal_held = True
     leader_lease = site.terms["a"]._lease
-    while leader_lease._trusted_until_s - trio.current_time() > REMAINING_S:
+    while leader_lease.confirmed_s + leader_lease.ttl_s - trio.current_time() > REMAINING_S:
         await trio.sleep(0.01)
-    until_s = leader_lease._trusted_until_s
+    until_s = leader_lease.confirmed_s + leader_lease.ttl_s
     site.submit(plan=tasks.Plan(run_s=1.0))
     await trio.sleep(QUESTION_S + 0.3)
-    assert leader_lease._trusted_until_s == until_s
+    assert leader_lease.confirmed_s + leader_lease.ttl_s == until_s
     assert [round(at_s - until_s, 3) for at_s in starts_s if at_s > until_s] == []
 
 
--- a/tests/control/test_elsewhere.py
+++ b/tests/control/test_elsewhere.py
@@ -41,10 +41,11 @@
 
 
 async def take_over(site: Site) -> None:
-    """Replace scheduler a by b."""
+    """Replace scheduler a by b; the killed instance starts again."""
     site.start_scheduler("b")
     site.kill("a")
     await site.wait_until(lambda: site.leader() == "b")
+    site.start_scheduler("a")
 
 
 async def test_an_acknowledgement_for_an_earlier_life_forgets_no_end_of_the_next(
--- a/tests/control/test_leases.py
+++ b/tests/control/test_leases.py
@@ -61,10 +61,11 @@
 
 
 async def take_over(site: Site) -> None:
-    """Replace scheduler a by b."""
+    """Replace scheduler a by b; the killed instance starts again."""
     site.start_scheduler("b")
     site.kill("a")
     await site.wait_until(lambda: site.leader() == "b")
+    site.start_scheduler("a")
 
 
 async def test_a_fresh_term_counts_a_renewal_that_an_earlier_life_left(
--- a/tests/control/test_term.py
+++ b/tests/control/test_term.py
@@ -9,7 +9,7 @@
 import pytest
 import trio
 
-from bronzequay.control import contact, keys, lease, run_lease
+from bronzequay.control import contact, earlier_terms, keys, lease, run_lease
 from bronzequay.core import model
 from bronzequay.fakes import kv, tasks
 from tests.control.site import ONE_GPU, gang
@@ -391,9 +391,11 @@
     site.crash(first)
     site.add_executor(2)
     site.start_scheduler("b")
+    await site.wait_until(lambda: site.leader() == "b")
+    site.start_scheduler("a")
     await site.wait_until(
         lambda: len(site.events("start")) == 2,
-        timeout_s=lease.TTL_S + run_lease.SETTLED_EXPIRY_S + 3.0,
+        timeout_s=lease.TTL_S + run_lease.CONTACT_S + earlier_terms.SETTLED_EXPIRY_S + 3.0,
     )
     site.check_runs()
 
@@ -413,6 +415,7 @@
     site.add_executor(2)
     site.start_scheduler("b")
     await site.wait_until(lambda: site.leader() == "b")
+    site.start_scheduler("a")
     began_s = trio.current_time()
     await site.wait_until(lambda: site.events("start"))
     took_s = trio.current_time() - began_s
--- a/tests/own/test_queries.py
+++ b/tests/own/test_queries.py
@@ -19,7 +19,7 @@
 from bronzequay.net import server
 from bronzequay.obs import report
 from bronzequay.own import queries, records
-from bronzequay.platform import kv
+from bronzequay.platform import instances, kv
 from bronzequay.policy import model as policy_model
 from tests.control.network import SOURCE
 from tests.control.site import CONFIG_S, ONE_GPU, STORE
@@ -66,6 +66,7 @@
         ),
         dump=lambda: {"instance": "a"},
         analyst_token=ANALYST,
+        term_state=lambda epoch: instances.TermState(ids.InstanceId("a"), epoch, epoch == 7),
     )
     return Caller(query_handler)
 
@@ -245,3 +246,13 @@
     assert (await caller.send("/v1/jobs")).status == 503
     await trio.sleep(CONFIG_S)
     assert (await caller.send("/v1/jobs")).status == 200
+
+
+async def test_an_instance_tells_whether_it_holds_a_term(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    caller = await start_caller(site)
+    held = {"instance": "a", "epoch": 7, "isHeld": True}
+    assert await caller.read("/v1/terms/7") == held
+    assert await caller.read("/v1/terms/8") == {**held, "epoch": 8, "isHeld": False}
+    assert (await caller.send("/v1/terms/x")).status == 404
