The cancel of an unknown job bars its submission

Its submission had been given up without an answer, and the store carried it out later.

Cause: the cancel found no job, wrote nothing and was forgotten. What the store does not hold may still be on its way.

Change: the cancel writes a tombstone under the key that a submission expects to be absent, and is acknowledged after that.

--- a/src/bronzequay/control/status.py
+++ b/src/bronzequay/control/status.py
@@ -13,6 +13,11 @@
     from bronzequay.core import model
 
 
+TOMBSTONE_S = 60.0
+"""Lifetime of a tombstone. The store carries out a write without an answer within 15 s, and an
+instance tries one for 1.1 s; the rest is for requests that are held up on their way."""
+
+
 class Status(msgspec.Struct, frozen=True, array_like=True):
     """State and summary of one job; times are seconds since the Unix epoch.
 
@@ -27,6 +32,7 @@
     :param estimate_s: longest path through the steps
     :param failures: number of failed runs
     :param reason: why the job failed or was cancelled, else empty
+    :param is_tombstone: whether there is no such job, and no earlier submission may create it
     """
 
     state: str
@@ -43,6 +49,7 @@
     estimate_s: float = 0.0
     failures: int = 0
     reason: str = ""
+    is_tombstone: bool = False
 
 
 def from_spec(spec: model.JobSpec, state: model.JobState) -> Status:
@@ -75,4 +82,4 @@
     return codec.from_msgpack(value, Status)
 
 
-__all__ = ["Status", "decode", "encode", "from_spec"]
+__all__ = ["TOMBSTONE_S", "Status", "decode", "encode", "from_spec"]
--- a/src/bronzequay/control/sweep.py
+++ b/src/bronzequay/control/sweep.py
@@ -1,4 +1,4 @@
-"""Removes the statuses of jobs whose retention period is over."""
+"""Removes the statuses of jobs whose retention period is over, and tombstones that are left."""
 
 from __future__ import annotations
 
@@ -63,7 +63,9 @@
     except msgspec.MsgspecError as exc:
         _log.error("status_unreadable", key=item.key, error=str(exc))
         return False
-    return 0.0 < job_status.ended_s < clock.wall_s() - retention_s
+    # Their instances remove tombstones in time, unless they have ended.
+    kept_s = 2 * status.TOMBSTONE_S if job_status.is_tombstone else retention_s
+    return 0.0 < job_status.ended_s < clock.wall_s() - kept_s
 
 
 async def _remove(store: Store, items: Sequence[Item]) -> int:
--- a/src/bronzequay/front/handler.py
+++ b/src/bronzequay/front/handler.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import re
 from typing import TYPE_CHECKING
 
 import msgspec
 import structlog
 import trio
 
-from bronzequay import clock, codes, errors, figures, ids
+from bronzequay import clock, errors, figures, ids
 from bronzequay.control import keys, status
 from bronzequay.core import model
+from bronzequay.front import tombstones, writes
 from bronzequay.net import server
 from bronzequay.platform import config, ingress, kv
 
@@ -22,20 +22,8 @@
     from bronzequay.platform.kv import Store
 
 RETRY_AFTER_S = 1
-ATTEMPT_TIMEOUT_S = 0.5
-"""Timeout of one attempt to write; a slow store takes 0.25 s."""
-MIN_ATTEMPT_TIMEOUT_S = 0.05
-"""Timeout of an attempt whose caller has hardly any time left; an answer usually takes 4 ms."""
-PROBE_TIMEOUT_S = 0.4
-"""Timeout of the check that the store answers; a slow store takes 0.25 s."""
-WRITE_TIMEOUT_S = 1.1
-"""Time for which an unanswered write is retried before the caller gets a 504."""
-RETRY_DELAY_S = 0.05
-RESPONSE_MARGIN_S = 0.2
-"""Part of the caller's timeout that is reserved for sending the response."""
-DEFAULT_TIMEOUT_S = 3.0
+CANCELLED_BEFORE_REASON = "cancelled before it was submitted"
 _REJECTION_STATUSES = frozenset({400, 401, 404, 405, 413})
-_MILLISECONDS = re.compile(r"[0-9]{1,15}")
 NO_ORG = ids.OrgId("")
 """Organisation of callers of public routes that send no known API key."""
 
@@ -71,6 +59,11 @@
         self._store = store
         self._configuration = configuration
         self._admission = admission
+        self._tombstones = tombstones.Tombstones(store)
+
+    async def run(self) -> None:
+        """Remove tombstones at the end of their lifetime until cancelled."""
+        await self._tombstones.run()
 
     async def handle(self, req: server.Request) -> server.Response:
         """Respond to one request."""
@@ -167,7 +160,7 @@
         ]
         if not spec.times:
             puts.append(kv.Put(keys.waiting(queue, job), b""))
-        response = await self._write(job, [(keys.state(job), kv.ABSENT)], puts, job_req.req)
+        response = await self._accept(job_req, spec, puts)
         _log.info(
             "job_submitted",
             job=job,
@@ -179,6 +172,34 @@
         )
         return response
 
+    async def _accept(
+        self, job_req: _JobRequest, spec: model.JobSpec, puts: list[kv.Put]
+    ) -> server.Response:
+        """Store a job unless its key exists: the same job, or a tombstone.
+
+        A conflict with the job counts as success, since an earlier attempt or an earlier submission
+        has written it.
+        """
+        key, found = keys.state(spec.job), None
+        deadline_s = writes.deadline_s(job_req.req)
+        while True:
+            rev = kv.ABSENT if found is None else found.rev
+            written = puts
+            if found is not None and _is_own_tombstone(found, job_req):
+                ended = status.from_spec(spec, model.JobState.CANCELLED)
+                ended = msgspec.structs.replace(
+                    ended, ended_s=clock.wall_s(), reason=CANCELLED_BEFORE_REASON
+                )
+                written = [kv.Put(key, status.encode(ended))]
+            outcome = await writes.write(
+                self._store, expect=[(key, rev)], puts=written, deadline_s=deadline_s
+            )
+            found = outcome.found
+            is_absent = found is not None and found.value is None
+            if found is None or not (is_absent or _is_tombstone(found)):
+                return self._response_to(spec.job, outcome)
+            found = None if is_absent else found
+
     async def _refuse(self, spec: model.JobSpec, rules: model.Rules) -> server.Response | None:
         """Return the refusal of a job that can no longer end in time, None if it is not refused.
 
@@ -191,7 +212,7 @@
         if retry_after_s is None:
             return None
         try:
-            item = await self._store.get(keys.state(spec.job), timeout_s=PROBE_TIMEOUT_S)
+            item = await self._store.get(keys.state(spec.job), timeout_s=writes.PROBE_TIMEOUT_S)
         except errors.BronzequayError:
             return None
         if item is not None:
@@ -209,13 +230,25 @@
         except errors.BronzequayError as exc:
             _log.warning("job_not_read", job=job, error=str(exc))
             return _unavailable(503, exc)
+        if item is None or _is_own_tombstone(item, job_req):
+            return await self._bar(job_req, item)
+        return await self._cancel_found(job_req, item)
+
+    async def _cancel_found(self, job_req: _JobRequest, item: kv.Item) -> server.Response:
+        job = job_req.job
         job_status = _visible_status(item, job_req)
         if job_status is None:
-            _log.info("cancel_of_unknown_job", job=job, is_stored=item is not None)
+            _log.info("cancel_of_unknown_job", job=job, is_stored=True)
             return server.Response(410)
         if model.JobState(job_status.state) in model.FINAL_STATES:
             return server.Response(200)
-        response = await self._write(job, [], [kv.Put(keys.cancel(job), b"")], job_req.req)
+        outcome = await writes.write(
+            self._store,
+            expect=[],
+            puts=[kv.Put(keys.cancel(job), b"")],
+            deadline_s=writes.deadline_s(job_req.req),
+        )
+        response = self._response_to(job, outcome)
         _log.info(
             "job_cancel_asked",
             job=job,
@@ -225,40 +258,53 @@
         )
         return response
 
-    async def _write(
-        self,
-        job: ids.JobId,
-        expect: list[tuple[str, ids.Revision]],
-        puts: list[kv.Put],
-        req: server.Request,
-    ) -> server.Response:
-        """Retry a write until its outcome is known or the time left for it has passed.
-
-        A write is not tried while the store does not answer: it may take effect later, and its
-        caller can safely submit again only after a refusal. A conflict counts as success, since
-        the keys were written by an earlier attempt or by an earlier submission of the same job.
+    async def _bar(self, job_req: _JobRequest, found: kv.Item | None) -> server.Response:
+        """Answer the cancel of an unknown job, whose submission may still be on its way.
 
-        :return: 200 when it took effect, 503 when it never will, 504 when its outcome is unknown
+        :param found: an earlier tombstone of the job
         """
-        deadline_s = trio.current_time() + min(WRITE_TIMEOUT_S, _timeout_s(req) - RESPONSE_MARGIN_S)
-        is_unknown = False
-        while True:
-            remaining_s = max(MIN_ATTEMPT_TIMEOUT_S, deadline_s - trio.current_time())
-            timeout_s = min(ATTEMPT_TIMEOUT_S, remaining_s)
-            try:
-                if not is_unknown:
-                    await self._store.ensure_answering(timeout_s=min(PROBE_TIMEOUT_S, remaining_s))
-                await self._store.txn(expect=expect, puts=puts, timeout_s=timeout_s)
-            except kv.Conflict:
-                return server.Response(200)
-            except errors.BronzequayError as exc:
-                is_unknown |= exc.code is codes.ResultCode.STORE_TIMEOUT
-                if not is_unknown or trio.current_time() >= deadline_s:
-                    _log.warning("write_failed", job=job, is_unknown=is_unknown, error=str(exc))
-                    return _unavailable(504 if is_unknown else 503, exc)
-                await trio.sleep(RETRY_DELAY_S)
-            else:
-                return server.Response(200)
+        job, org = job_req.job, job_req.org
+        if not self._tombstones.has_room(org):
+            figures.count("tombstones_refused")
+            _log.warning("tombstone_refused", job=job, org=org)
+            return _unavailable(503)
+        value = tombstones.encode(org, job_req.route.queue, model.JobState.CANCELLED)
+        with self._tombstones.adding(org):
+            outcome = await writes.write(
+                self._store,
+                expect=[(keys.state(job), kv.ABSENT if found is None else found.rev)],
+                puts=[kv.Put(keys.state(job), value)],
+                deadline_s=writes.deadline_s(job_req.req),
+            )
+        _log.info(
+            "cancel_of_unknown_job",
+            job=job,
+            is_stored=found is not None,
+            revision=outcome.rev,
+            is_unknown=outcome.is_unknown,
+        )
+        if outcome.is_unknown:
+            self._tombstones.add(job, org, value, None)
+        if outcome.error is not None:
+            return self._response_to(job, outcome)
+        rev, item = outcome.rev, outcome.found
+        if item is not None and item.value == value:
+            # An attempt without an answer has written it.
+            rev = item.rev
+        elif item is not None and item.value is not None and not _is_tombstone(item):
+            return await self._cancel_found(job_req, item)
+        if rev is not None:
+            self._tombstones.add(job, org, value, rev)
+        return server.Response(410)
+
+    def _response_to(self, job: ids.JobId, outcome: writes.Outcome) -> server.Response:
+        """Return 200 if a write took effect, 503 if it never will, 504 if that is unknown."""
+        if outcome.error is None:
+            return server.Response(200)
+        _log.warning(
+            "write_failed", job=job, is_unknown=outcome.is_unknown, error=str(outcome.error)
+        )
+        return _unavailable(504 if outcome.is_unknown else 503, outcome.error)
 
     async def _query(self, job_req: _JobRequest) -> server.Response:
         try:
@@ -308,15 +354,27 @@
     if item is None or item.value is None:
         return None
     job_status = status.decode(item.value)
+    is_visible = _may_see(job_status, job_req) and not job_status.is_tombstone
+    return job_status if is_visible else None
+
+
+def _may_see(job_status: status.Status, job_req: _JobRequest) -> bool:
     is_own = job_req.org != NO_ORG and job_req.org == job_status.org
     is_public = job_req.route.is_public and job_req.route.queue == job_status.queue
-    return job_status if is_own or is_public else None
+    return is_own or is_public
+
+
+def _is_tombstone(item: kv.Item) -> bool:
+    try:
+        return item.value is not None and status.decode(item.value).is_tombstone
+    except msgspec.MsgspecError as exc:
+        _log.error("status_unreadable", key=item.key, error=str(exc))
+        return False
 
 
-def _timeout_s(req: server.Request) -> float:
-    text = req.headers.get("deadline-ms", "")
-    is_number = _MILLISECONDS.fullmatch(text) is not None
-    return int(text) / 1000 if is_number else DEFAULT_TIMEOUT_S
+def _is_own_tombstone(item: kv.Item, job_req: _JobRequest) -> bool:
+    """Return whether an item is a tombstone that a caller with the same rights has left."""
+    return _is_tombstone(item) and _may_see(status.decode(item.value or b""), job_req)
 
 
 def _encode_error(exc: errors.BronzequayError) -> bytes:
--- a/src/bronzequay/node.py
+++ b/src/bronzequay/node.py
@@ -108,6 +108,7 @@
                 self._front.run,
                 self._ready.run,
                 self._query_server.run,
+                self._handler.run,
                 self._run_terms,
                 self._return_freed_memory,
                 loop_delay.measure,
--- a/src/bronzequay/own/queries.py
+++ b/src/bronzequay/own/queries.py
@@ -158,7 +158,8 @@
     async def _read_status(self, job: ids.JobId, org: ids.OrgId | None) -> status.Status:
         item = await self._store.get(keys.state(job))
         job_status = None if item is None or item.value is None else status.decode(item.value)
-        if job_status is None or org not in (None, job_status.org):
+        is_known = job_status is not None and not job_status.is_tombstone
+        if job_status is None or not is_known or org not in (None, job_status.org):
             raise errors.BronzequayError(codes.ResultCode.UNKNOWN_JOB, f"no such job: {job}")
         return job_status
 
@@ -175,6 +176,8 @@
             page = await self._store.page(keys.STATES, after=after, is_stale_ok=True)
             for item in page.items:
                 job_status = status.decode(item.value or b"")
+                if job_status.is_tombstone:
+                    continue
                 record = records.job_record(keys.job_id_in(item.key), job_status)
                 is_visible = org in (None, job_status.org) and queried_org in (None, job_status.org)
                 if is_visible and state in (None, record.state):
