Soak: workers are lost for good beside a change of the scheduler

Half to all of the workers are now lost before, while or after a scheduler is killed or cut off from the store, and others join later.

--- a/soak/harness.py
+++ b/soak/harness.py
@@ -16,7 +16,7 @@
 from bronzequay.control import keys, lease
 from bronzequay.fakes import executors, kv
 from bronzequay.net import server
-from soak import configurations, evacuations, intrusions, invariants, links, plan, recuts
+from soak import configurations, evacuations, intrusions, invariants, links, losses, plan, recuts
 from soak.instances import SHUTDOWN_GRACE_S, Instance
 
 if TYPE_CHECKING:
@@ -108,7 +108,7 @@
         self.faults_until_s = self.recuts_until_s = trio.current_time()
         self._store_port = next(self._ports)
         self._worker_links: dict[str, links.Link] = {}
-        self._worker_scopes: dict[str, trio.CancelScope] = {}
+        self._replaced_count = 0
         self.instances = [self._make_instance(number, folder) for number in range(entries)]
         self.worker_count = workers
 
@@ -148,6 +148,12 @@
         executor.spawn = self._nursery.start_soon
         await self._nursery.start(self._serve_worker, executor, executor_port)
 
+    async def replace_worker(self, lost: executors.Executor) -> None:
+        """Add a worker under another id on another machine, in the place of a lost one."""
+        self._replaced_count += 1
+        name = f"i-{self.worker_count + self._replaced_count - 1}"
+        await self._add_worker(name, rack=lost.labels[1], zone=lost.zone)
+
     async def _serve_worker(
         self,
         executor: executors.Executor,
@@ -193,8 +199,9 @@
         if fault.kind in plan.EVACUATIONS:
             await evacuations.inject(self, fault)
             return
-        if fault.kind in plan.RECUTS:
-            await recuts.inject(self, fault)
+        injectors = {plan.Kind.WORKERS_RECUT: recuts.inject, plan.Kind.WORKERS_LOST: losses.inject}
+        if fault.kind in injectors:
+            await injectors[fault.kind](self, fault)
             return
         executor, tail_s = evacuations.disturbance_of(self, fault)
         with self.evacuation_checker.disturbance(executor, tail_s):
@@ -349,6 +356,12 @@
             instance.start()
         instance.disturbed_s = trio.current_time()
 
+    async def cut_from_store(self, instance: Instance, fault: Fault) -> None:
+        """Cut an instance off from the store for as long as a fault lasts."""
+        instance.store.cut = {"up", "down"}
+        await trio.sleep(fault.duration_s)
+        instance.store.heal()
+
     async def _kill_all(self, _instance: Instance, fault: Fault) -> None:
         async with trio.open_nursery() as nursery:
             for instance in self.instances:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -50,6 +50,7 @@
     CONFIGURATION_GROWS = "configuration_grows"
     STORE_LINK_SLOW = "store_link_slow"
     WORKERS_RECUT = "workers_recut"
+    WORKERS_LOST = "workers_lost"
 
 
 class Target(enum.Enum):
@@ -86,6 +87,8 @@
 """Kinds that ``configurations`` carries out, drawn apart likewise."""
 RECUTS = frozenset({Kind.WORKERS_RECUT})
 """Kinds that ``recuts`` carries out, drawn apart likewise."""
+LOSSES = frozenset({Kind.WORKERS_LOST})
+"""Kinds that ``losses`` carries out, drawn apart likewise."""
 REPEAT_SHARE = 0.25
 """Share of faults that repeat the kind of the fault before."""
 
@@ -112,7 +115,7 @@
     :param per_s: mean number of faults per second
     """
     rng = random.Random(seed)
-    drawn_apart = HAZARDS | INTRUSIONS | EVACUATIONS | CROWDS | GROWTHS | RECUTS
+    drawn_apart = HAZARDS | INTRUSIONS | EVACUATIONS | CROWDS | GROWTHS | RECUTS | LOSSES
     kinds = [kind for kind in Kind if kind not in drawn_apart]
     weights = [WEIGHTS.get(kind, 1.0) for kind in kinds]
     faults: list[Fault] = []
@@ -187,6 +190,15 @@
     return _draw(random.Random(f"recuts {seed}"), RECUTS, seconds, per_s=per_s)
 
 
+def draw_losses(seed: int, seconds: float, *, per_s: float) -> list[Fault]:
+    """Draw the faults of the kinds in ``LOSSES``, ordered by time.
+
+    :param seconds: length of the fault phase, in seconds
+    :param per_s: mean number of faults per second
+    """
+    return _draw(random.Random(f"losses {seed}"), LOSSES, seconds, per_s=per_s)
+
+
 def _draw(
     rng: random.Random, group: AbstractSet[Kind], seconds: float, *, per_s: float
 ) -> list[Fault]:
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -38,7 +38,9 @@
     recuts = [fault for seed in range(20) for fault in plan.draw_recuts(seed, 60.0, per_s=1.0)]
     assert {fault.kind for fault in recuts} == plan.RECUTS
     drawn_apart = plan.HAZARDS | plan.INTRUSIONS | plan.EVACUATIONS | plan.CROWDS | plan.GROWTHS
-    drawn_apart |= plan.RECUTS
+    losses = [fault for seed in range(20) for fault in plan.draw_losses(seed, 60.0, per_s=1.0)]
+    assert {fault.kind for fault in losses} == plan.LOSSES
+    drawn_apart |= plan.RECUTS | plan.LOSSES
     assert {fault.kind for fault in faults} == set(plan.Kind) - drawn_apart
 
 
