A refusal for want of time bars earlier requests for the job

Change: the refusal writes a tombstone, which a later request replaces, and is given only once that has taken effect.

Test changed: one held that a refusal writes no status; it now holds that it writes a tombstone, which callers do not see, and no job.

--- a/src/bronzequay/front/handler.py
+++ b/src/bronzequay/front/handler.py
@@ -150,7 +150,7 @@
         except errors.BronzequayError as exc:
             _log.info("job_malformed", job=job, error=str(exc))
             return server.Response(400, _encode_error(exc))
-        refusal = await self._refuse(spec, current.rules)
+        refusal = await self._refuse(job_req, spec, current.rules)
         if refusal is not None:
             return refusal
         job_status = status.from_spec(spec, model.JobState.QUEUED)
@@ -185,7 +185,7 @@
         while True:
             rev = kv.ABSENT if found is None else found.rev
             written = puts
-            if found is not None and _is_own_tombstone(found, job_req):
+            if found is not None and _is_cancelled(found, job_req):
                 ended = status.from_spec(spec, model.JobState.CANCELLED)
                 ended = msgspec.structs.replace(
                     ended, ended_s=clock.wall_s(), reason=CANCELLED_BEFORE_REASON
@@ -196,26 +196,23 @@
             )
             found = outcome.found
             is_absent = found is not None and found.value is None
-            if found is None or not (is_absent or _is_tombstone(found)):
+            if found is None or not (is_absent or tombstones.is_tombstone(found)):
                 return self._response_to(spec.job, outcome)
             found = None if is_absent else found
 
-    async def _refuse(self, spec: model.JobSpec, rules: model.Rules) -> server.Response | None:
+    async def _refuse(
+        self, job_req: _JobRequest, spec: model.JobSpec, rules: model.Rules
+    ) -> server.Response | None:
         """Return the refusal of a job that can no longer end in time, None if it is not refused.
 
-        A job that the store lists was accepted, so that a refusal of it would be false. Without an
-        answer of the store, the job is submitted as usual.
+        A job that the store lists was accepted, so that a refusal of it would be false. One that it
+        does not list may still be accepted by an earlier request, unless a tombstone prevents that.
+        Without an answer of the store, the job is submitted as usual.
         """
         if self._admission is None:
             return None
         retry_after_s = self._admission.retry_after_s(spec, rules)
-        if retry_after_s is None:
-            return None
-        try:
-            item = await self._store.get(keys.state(spec.job), timeout_s=writes.PROBE_TIMEOUT_S)
-        except errors.BronzequayError:
-            return None
-        if item is not None:
+        if retry_after_s is None or not await self._bar_earlier(job_req):
             return None
         figures.count(f'jobs_refused{{queue="{spec.queue}"}}')
         _log.info(
@@ -263,19 +260,10 @@
 
         :param found: an earlier tombstone of the job
         """
-        job, org = job_req.job, job_req.org
-        if not self._tombstones.has_room(org):
-            figures.count("tombstones_refused")
-            _log.warning("tombstone_refused", job=job, org=org)
+        job = job_req.job
+        outcome = await self._write_tombstone(job_req, found, model.JobState.CANCELLED)
+        if outcome is None:
             return _unavailable(503)
-        value = tombstones.encode(org, job_req.route.queue, model.JobState.CANCELLED)
-        with self._tombstones.adding(org):
-            outcome = await writes.write(
-                self._store,
-                expect=[(keys.state(job), kv.ABSENT if found is None else found.rev)],
-                puts=[kv.Put(keys.state(job), value)],
-                deadline_s=writes.deadline_s(job_req.req),
-            )
         _log.info(
             "cancel_of_unknown_job",
             job=job,
@@ -283,20 +271,37 @@
             revision=outcome.rev,
             is_unknown=outcome.is_unknown,
         )
-        if outcome.is_unknown:
-            self._tombstones.add(job, org, value, None)
         if outcome.error is not None:
             return self._response_to(job, outcome)
-        rev, item = outcome.rev, outcome.found
-        if item is not None and item.value == value:
-            # An attempt without an answer has written it.
-            rev = item.rev
-        elif item is not None and item.value is not None and not _is_tombstone(item):
+        item = outcome.found
+        if item is not None and item.value is not None and not tombstones.is_tombstone(item):
             return await self._cancel_found(job_req, item)
-        if rev is not None:
-            self._tombstones.add(job, org, value, rev)
         return server.Response(410)
 
+    async def _bar_earlier(self, job_req: _JobRequest) -> bool:
+        """Keep earlier requests for a job from taking effect; a later one may.
+
+        :return: whether that is certain
+        """
+        try:
+            item = await self._store.get(keys.state(job_req.job), timeout_s=writes.PROBE_TIMEOUT_S)
+        except errors.BronzequayError:
+            return False
+        if item is not None and tombstones.state_in(item) is not model.JobState.QUEUED:
+            return False
+        outcome = await self._write_tombstone(job_req, item, model.JobState.QUEUED)
+        return outcome is not None and outcome.rev is not None
+
+    async def _write_tombstone(
+        self, job_req: _JobRequest, found: kv.Item | None, state: model.JobState
+    ) -> writes.Outcome | None:
+        return await self._tombstones.write(
+            job_req.job,
+            tombstones.Placeholder(job_req.org, job_req.route.queue, state),
+            rev=kv.ABSENT if found is None else found.rev,
+            deadline_s=writes.deadline_s(job_req.req),
+        )
+
     def _response_to(self, job: ids.JobId, outcome: writes.Outcome) -> server.Response:
         """Return 200 if a write took effect, 503 if it never will, 504 if that is unknown."""
         if outcome.error is None:
@@ -364,17 +369,15 @@
     return is_own or is_public
 
 
-def _is_tombstone(item: kv.Item) -> bool:
-    try:
-        return item.value is not None and status.decode(item.value).is_tombstone
-    except msgspec.MsgspecError as exc:
-        _log.error("status_unreadable", key=item.key, error=str(exc))
-        return False
-
-
 def _is_own_tombstone(item: kv.Item, job_req: _JobRequest) -> bool:
     """Return whether an item is a tombstone that a caller with the same rights has left."""
-    return _is_tombstone(item) and _may_see(status.decode(item.value or b""), job_req)
+    return tombstones.is_tombstone(item) and _may_see(status.decode(item.value or b""), job_req)
+
+
+def _is_cancelled(item: kv.Item, job_req: _JobRequest) -> bool:
+    """Return whether an item is the tombstone of a cancel by a caller with the same rights."""
+    is_cancel = tombstones.state_in(item) is model.JobState.CANCELLED
+    return is_cancel and _is_own_tombstone(item, job_req)
 
 
 def _encode_error(exc: errors.BronzequayError) -> bytes:
--- a/src/bronzequay/front/tombstones.py
+++ b/src/bronzequay/front/tombstones.py
@@ -8,21 +8,18 @@
 from __future__ import annotations
 
 import collections
-import contextlib
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
+import msgspec
 import structlog
 import trio
 
 from bronzequay import clock, errors, figures, ids
 from bronzequay.control import keys, status
+from bronzequay.core import model
+from bronzequay.front import writes
 from bronzequay.platform import kv
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
-    from bronzequay.core import model
-
 MAX_TOMBSTONES = 2000
 """Most tombstones of one instance. Each takes some 100 bytes in the store and here; more cancels of
 unknown jobs are refused until others have reached the end of their lifetime."""
@@ -36,13 +33,33 @@
 _log = structlog.get_logger()
 
 
+class Placeholder(NamedTuple):
+    """Content of a tombstone.
+
+    :param org: organisation whose later submissions it applies to
+    :param state: what a later submission makes of the job
+    """
+
+    org: ids.OrgId
+    queue: ids.QueueId
+    state: model.JobState
+
+    def encode(self) -> bytes:
+        """Encode a new tombstone."""
+        return status.encode(
+            status.Status(
+                self.state.value, self.org, self.queue, ended_s=clock.wall_s(), is_tombstone=True
+            )
+        )
+
+
 class _Tombstone(NamedTuple):
     """A tombstone of this instance.
 
     :param rev: its revision, None if it is not known whether it has been written
     """
 
-    org: ids.OrgId
+    placeholder: Placeholder
     value: bytes
     rev: ids.Revision | None
     end_s: float
@@ -57,27 +74,37 @@
         self._pending: collections.Counter[ids.OrgId] = collections.Counter()
         figures.gauge("tombstones", lambda: len(self._held))
 
-    def has_room(self, org: ids.OrgId) -> bool:
-        """Return whether an organisation may add another tombstone."""
-        held = [*(tombstone.org for tombstone in self._held.values()), *self._pending.elements()]
+    def _has_room(self, org: ids.OrgId) -> bool:
+        held = [*(held.placeholder.org for held in self._held.values()), *self._pending.elements()]
         return len(held) < MAX_TOMBSTONES and held.count(org) < MAX_PER_ORG
 
-    @contextlib.contextmanager
-    def adding(self, org: ids.OrgId) -> Iterator[None]:
-        """Surround the write of a tombstone, which counts already."""
-        self._pending[org] += 1
-        try:
-            yield
-        finally:
-            self._pending -= collections.Counter([org])
-
-    def add(self, job: ids.JobId, org: ids.OrgId, value: bytes, rev: ids.Revision | None) -> None:
-        """Take charge of a tombstone.
+    async def write(
+        self, job: ids.JobId, placeholder: Placeholder, *, rev: ids.Revision, deadline_s: float
+    ) -> writes.Outcome | None:
+        """Write a tombstone and take charge of it; return None if there is no room for one.
 
-        :param rev: its revision, None if it is not known whether it has been written
+        :param rev: revision of the tombstone that it replaces, ``ABSENT`` for none
+        :param deadline_s: when the last attempt to write it begins, at the latest
         """
-        end_s = trio.current_time() + status.TOMBSTONE_S
-        self._held[job] = _Tombstone(org, value, rev, end_s)
+        if not self._has_room(placeholder.org):
+            figures.count("tombstones_refused")
+            _log.warning("tombstone_refused", job=job, org=placeholder.org)
+            return None
+        key, value = keys.state(job), placeholder.encode()
+        self._pending[placeholder.org] += 1
+        try:
+            outcome = await writes.write(
+                self._store, expect=[(key, rev)], puts=[kv.Put(key, value)], deadline_s=deadline_s
+            )
+        finally:
+            self._pending -= collections.Counter([placeholder.org])
+        if outcome.found is not None and outcome.found.value == value:
+            # An attempt without an answer has written it.
+            outcome = writes.Outcome(rev=outcome.found.rev)
+        if outcome.rev is not None or outcome.is_unknown:
+            end_s = trio.current_time() + status.TOMBSTONE_S
+            self._held[job] = _Tombstone(placeholder, value, outcome.rev, end_s)
+        return outcome
 
     async def run(self) -> None:
         """Remove tombstones at the end of their lifetime until cancelled."""
@@ -115,14 +142,21 @@
         return item.rev if item is not None and item.value == held.value else None
 
 
-def encode(org: ids.OrgId, queue: ids.QueueId, state: model.JobState) -> bytes:
-    """Encode a new tombstone.
+def state_in(item: kv.Item) -> model.JobState | None:
+    """Return what a submission makes of a job after its tombstone, None if there is none."""
+    if item.value is None:
+        return None
+    try:
+        found = status.decode(item.value)
+    except msgspec.MsgspecError as exc:
+        _log.error("status_unreadable", key=item.key, error=str(exc))
+        return None
+    return model.JobState(found.state) if found.is_tombstone else None
 
-    :param state: what a submission that comes after it makes of the job
-    """
-    return status.encode(
-        status.Status(state.value, org, queue, ended_s=clock.wall_s(), is_tombstone=True)
-    )
+
+def is_tombstone(item: kv.Item) -> bool:
+    """Return whether an item is a tombstone."""
+    return state_in(item) is not None
 
 
-__all__ = ["Tombstones", "encode"]
+__all__ = ["Placeholder", "Tombstones", "is_tombstone", "state_in"]
--- a/tests/control/test_admission.py
+++ b/tests/control/test_admission.py
@@ -7,7 +7,7 @@
 import trio
 
 from bronzequay import figures
-from bronzequay.control import admission, keys
+from bronzequay.control import admission, keys, status
 from bronzequay.core import model
 from bronzequay.fakes import kv, tasks
 from tests.control.site import EIGHT_GPUS
@@ -65,7 +65,10 @@
     assert figures.counters['jobs_refused{queue="q2"}'] >= 1
     refused = "f" * 16
     assert (await send("POST", f"/q2/{refused}", BODY)).status == 503
-    assert site.kv.get(f"{keys.STATES}{refused}") is None
+    tombstone = status.decode(site.kv.get(f"{keys.STATES}{refused}") or b"")
+    assert tombstone.is_tombstone
+    assert (await send("GET", f"/q2/{refused}")).status == 410
+    assert site.kv.get(f"{keys.JOBS}{refused}") is None
 
 
 async def test_guaranteed_work_and_jobs_that_were_accepted_are_not_refused(
--- a/tests/front/test_tombstones.py
+++ b/tests/front/test_tombstones.py
@@ -9,7 +9,7 @@
 import trio
 
 from bronzequay import ids
-from bronzequay.control import keys, status, sweep
+from bronzequay.control import admission, keys, status, sweep
 from bronzequay.core import model
 from bronzequay.fakes import kv
 from bronzequay.front import tombstones
@@ -159,8 +159,9 @@
 ) -> None:
     """Guards against tombstones that stay because the instance that wrote them has ended."""
     for number in range(3):
-        value = tombstones.encode(ids.OrgId("one"), ids.QueueId("q1"), model.JobState.CANCELLED)
-        site.kv.put(f"{keys.STATES}{number:016x}", value)
+        cancelled = model.JobState.CANCELLED
+        tombstone = tombstones.Placeholder(ids.OrgId("one"), ids.QueueId("q1"), cancelled)
+        site.kv.put(f"{keys.STATES}{number:016x}", tombstone.encode())
     store = stores.Store(STORE)
     await trio.sleep(status.TOMBSTONE_S)
     assert await sweep.remove_expired(store, retention_s=3600.0) == 0
@@ -189,3 +190,33 @@
     assert (await send("DELETE", PATH)).status == 504
     site.kv.faults = kv.Faults()
     assert (await send("DELETE", PATH)).status == 410
+
+
+def predict_wait(site: Site, wait_s: float) -> None:
+    """Publish the predicted wait of a queue as the scheduler does."""
+    waits = admission.Waits(1000.0 + trio.current_time(), {ids.QueueId("q1"): wait_s})
+    site.kv.put(keys.ADMISSION, admission.encode(waits))
+
+
+async def test_a_refused_job_is_not_accepted_by_a_late_write_and_can_be_submitted_again(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against a 503, which says that a job never runs, while an earlier attempt may."""
+    site.has_admission = True
+    first, second = await site.start_front("f"), await site.start_front("g")
+    await submit_late(site, first)
+    predict_wait(site, 600.0)
+    await trio.sleep(0.5)
+    assert (await second("POST", PATH, BODY)).status == 503
+    await trio.sleep(2 * LATE_S)
+    assert site.kv.keys(keys.JOBS) == []
+    assert (await second("GET", PATH)).status == 410
+    assert (await second("DELETE", PATH)).status == 410
+    other = f"/q1/{1:016x}"
+    predict_wait(site, 600.0)
+    await trio.sleep(0.5)
+    assert (await second("POST", other, BODY)).status == 503
+    predict_wait(site, 0.0)
+    await trio.sleep(0.5)
+    assert (await second("POST", other, BODY)).status == 200
+    assert shown_state(await second("GET", other)) == "queued"
