Soak: callers give up on submissions that the store holds back

The store now holds back most writes for some seconds at a time, half of the callers without an answer cancel at once, and a job that did not exist when it was cancelled must never run.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -36,6 +36,8 @@
 MAX_CRASHING_STARTS = 5
 """Starts of a task that crashes its workers: three, and two more after the third crash."""
 CANCEL_SHARE_PER_POLL = 0.4
+GIVE_UP_SHARE = 0.5
+"""Share of the callers who cancel a job at once if they do not know whether it was accepted."""
 FINAL_STATES = frozenset({"completed", "failed", "cancelled"})
 
 
@@ -52,6 +54,7 @@
 
     :ivar state: state in the last answer, empty before the first
     :ivar cancelled_s: time at which a cancellation was answered
+    :ivar is_barred: whether the answer was that there is no such job
     """
 
     def __init__(self, name: str, prefix: str, body: bytes, task_count: int) -> None:
@@ -62,7 +65,7 @@
         self.submit_result = SubmitResult.UNKNOWN
         self.state = ""
         self.cancelled_s: float | None = None
-        self.is_cancel_requested = False
+        self.is_cancel_requested = self.is_barred = False
 
 
 class Callers:
@@ -80,6 +83,7 @@
         self._rng = random.Random(seed)
         self._crash_rng = random.Random(f"crashes {seed}")
         self._long_rng = random.Random(f"long {seed}")
+        self._give_up_rng = random.Random(f"give up {seed}")
         self._crash_share = CRASH_SHARE if has_hazards else 0.0
         self.crashing_jobs: set[str] = set()
         self._clients = {
@@ -148,7 +152,9 @@
 
     async def run_job(self, job: Job) -> None:
         """Submit a job, perhaps cancel it, and poll it until it ends."""
-        await self._submit(job)
+        await self._submit(job, gives_up=self._give_up_rng.random() < GIVE_UP_SHARE)
+        if job.submit_result is SubmitResult.UNKNOWN:
+            await self._cancel(job)
         if job.submit_result is not SubmitResult.ACCEPTED:
             return
         will_cancel = self._rng.random() < CANCEL_SHARE
@@ -156,12 +162,16 @@
             await trio.sleep(POLL_INTERVAL_S * self._rng.uniform(0.5, 1.5))
             if will_cancel and self._rng.random() < CANCEL_SHARE_PER_POLL:
                 will_cancel = False
-                job.is_cancel_requested = True
-                status, _ = await self._call("DELETE", job.path)
-                if status in (200, 410):
-                    job.cancelled_s = trio.current_time()
+                await self._cancel(job)
             await self._poll_state(job)
 
+    async def _cancel(self, job: Job) -> None:
+        job.is_cancel_requested = True
+        status, _ = await self._call("DELETE", job.path)
+        if status in (200, 410):
+            job.cancelled_s = trio.current_time()
+        job.is_barred = status == 410 and job.submit_result is SubmitResult.UNKNOWN  # noqa: PLR2004
+
     async def submit_until_accepted(self, job: Job) -> None:
         """Submit a job until it is accepted, and poll it until it ends."""
         while job.submit_result is not SubmitResult.ACCEPTED:
@@ -184,7 +194,7 @@
             collections.Counter(job.state or job.submit_result.value for job in self.jobs.values())
         )
 
-    async def _submit(self, job: Job) -> None:
+    async def _submit(self, job: Job, *, gives_up: bool = False) -> None:
         result = SubmitResult.REJECTED
         for _ in range(SUBMIT_ATTEMPTS):
             status, _ = await self._call("POST", job.path, job.body)
@@ -194,6 +204,8 @@
             # Only 429 and 503 say that the job was not accepted.
             if status not in (429, 503):
                 result = SubmitResult.UNKNOWN
+                if gives_up:
+                    break
             await trio.sleep(0.2)
         job.submit_result = result
 
@@ -295,6 +307,8 @@
                 and f"{job.name}.0.0.0" in self._site.run_checker.started
             ):
                 self.breaches.append(f"job {job.name} was rejected and ran")
+            if job.is_barred and f"{job.name}.0.0.0" in self._site.run_checker.started:
+                self.breaches.append(f"job {job.name} did not exist when it was cancelled and ran")
             if job.cancelled_s is None:
                 continue
             # Faults after the cancellation, or shortly before it, may have delayed the stop.
--- a/soak/harness.py
+++ b/soak/harness.py
@@ -396,4 +396,5 @@
     plan.Kind.STORE_LOSES: kv.Faults(lose=0.4),
     plan.Kind.STORE_WRITES_LATE: kv.Faults(lose=0.4, late_s=3.0),
     plan.Kind.STORE_DEAF: kv.Faults(deaf=True),
+    plan.Kind.STORE_HOLDS_WRITES: kv.Faults(lose=0.8, late_s=4.0),
 }
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -51,6 +51,7 @@
     STORE_LINK_SLOW = "store_link_slow"
     WORKERS_RECUT = "workers_recut"
     WORKERS_LOST = "workers_lost"
+    STORE_HOLDS_WRITES = "store_holds_writes"
 
 
 class Target(enum.Enum):
@@ -79,6 +80,7 @@
 """Kinds that ``intrusions`` carries out, drawn apart likewise."""
 EVACUATIONS = frozenset({Kind.EVACUATION})
 """Kinds that ``evacuations`` carries out, drawn apart likewise."""
+HOLD_S = 4.0
 EVACUATION_S = 4.0
 """Added to the length of an evacuation, so that most outlast the time that they may take."""
 CROWDS = frozenset({Kind.HOSTILE_CLIENTS})
@@ -89,6 +91,8 @@
 """Kinds that ``recuts`` carries out, drawn apart likewise."""
 LOSSES = frozenset({Kind.WORKERS_LOST})
 """Kinds that ``losses`` carries out, drawn apart likewise."""
+HOLDS = frozenset({Kind.STORE_HOLDS_WRITES})
+"""Kinds in which most submissions get no answer, drawn apart likewise."""
 REPEAT_SHARE = 0.25
 """Share of faults that repeat the kind of the fault before."""
 
@@ -115,7 +119,8 @@
     :param per_s: mean number of faults per second
     """
     rng = random.Random(seed)
-    drawn_apart = HAZARDS | INTRUSIONS | EVACUATIONS | CROWDS | GROWTHS | RECUTS | LOSSES
+    drawn_apart = HAZARDS | INTRUSIONS | EVACUATIONS | CROWDS | GROWTHS
+    drawn_apart |= RECUTS | LOSSES | HOLDS
     kinds = [kind for kind in Kind if kind not in drawn_apart]
     weights = [WEIGHTS.get(kind, 1.0) for kind in kinds]
     faults: list[Fault] = []
@@ -199,6 +204,18 @@
     return _draw(random.Random(f"losses {seed}"), LOSSES, seconds, per_s=per_s)
 
 
+def draw_holds(seed: int, seconds: float, *, per_s: float) -> list[Fault]:
+    """Draw the faults of the kinds in ``HOLDS``, ordered by time; they last for up to 4 s.
+
+    :param seconds: length of the fault phase, in seconds
+    :param per_s: mean number of faults per second
+    """
+    drawn = _draw(random.Random(f"holds {seed}"), HOLDS, seconds, per_s=per_s)
+    return [
+        msgspec.structs.replace(fault, duration_s=min(fault.duration_s, HOLD_S)) for fault in drawn
+    ]
+
+
 def _draw(
     rng: random.Random, group: AbstractSet[Kind], seconds: float, *, per_s: float
 ) -> list[Fault]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,6 +24,7 @@
 GROWTHS_PER_S = 0.25
 RECUTS_PER_S = 0.15
 LOSSES_PER_S = 0.05
+HOLDS_PER_S = 0.05
 JOBS_PER_S = 2.5
 CHECK_INTERVAL_S = 0.25
 RECOVERY_TIMEOUT_S = 12.0
@@ -117,6 +118,7 @@
         faults += plan.draw_growths(seed, seconds, per_s=GROWTHS_PER_S)
         faults += plan.draw_recuts(seed, seconds, per_s=RECUTS_PER_S)
         faults += plan.draw_losses(seed, seconds, per_s=LOSSES_PER_S)
+        faults += plan.draw_holds(seed, seconds, per_s=HOLDS_PER_S)
         if has_hazards:
             faults += plan.draw_hazards(seed, seconds, per_s=HAZARDS_PER_S)
         for fault in sorted(faults, key=lambda fault: fault.at_s):
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -40,7 +40,9 @@
     drawn_apart = plan.HAZARDS | plan.INTRUSIONS | plan.EVACUATIONS | plan.CROWDS | plan.GROWTHS
     losses = [fault for seed in range(20) for fault in plan.draw_losses(seed, 60.0, per_s=1.0)]
     assert {fault.kind for fault in losses} == plan.LOSSES
-    drawn_apart |= plan.RECUTS | plan.LOSSES
+    holds = [fault for seed in range(20) for fault in plan.draw_holds(seed, 60.0, per_s=1.0)]
+    assert {fault.kind for fault in holds} == plan.HOLDS
+    drawn_apart |= plan.RECUTS | plan.LOSSES | plan.HOLDS
     assert {fault.kind for fault in faults} == set(plan.Kind) - drawn_apart
 
 
