Runs taken over are compared with a complete listing

Cause: the comparison was due with the first listing alone and was skipped when that was cut.

Change: the runs that a term takes over are kept until a complete listing has been compared with them.

--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -93,16 +93,15 @@
         self._scope = trio.CancelScope()
         self._call = trio.CancelScope()
         self._acks = listings.Acknowledgements()
-        self._was_renewed = False
-        self._has_listing = False
+        self._was_renewed = self._has_listing = False
         self._is_lost = self._is_unanswered = False
         self._shown: set[model.TaskKey] = set()
         self._kept: late_starts.LateStarts = {}
+        self._inherited: set[tuple[model.TaskKey, int]] = set()
         self._lapsed_s = 0.0
         self._answered_s = float("-inf")
         self._pending: tuple[workers.Listing, float] | None = None
-        self._is_first_pending = False
-        self._has_fillers_beside_serving = False
+        self._is_first_pending = self._has_fillers_beside_serving = False
 
     @property
     def is_in_contact(self) -> bool:
@@ -369,16 +368,19 @@
         losses.forgive(state, worker)
         listings.apply(state, worker, listing)
         self._has_fillers_beside_serving = pacing.has_fillers_beside_serving(state, worker)
+        if is_first:
+            # Orders of earlier terms have been refused since the answer, or have taken effect.
+            self._inherited |= {(key, task.run) for key, task in worker.tasks.items()}
         listed = {(run.key, run.run) for run in listing.running}
-        is_complete = len(listing.ended) < MAX_LISTED_ENDS
-        if is_complete:
+        if is_complete := len(listing.ended) < MAX_LISTED_ENDS:
             # Orders that were answered before the listing was requested have taken effect in it.
             listings.end_missing_runs(
                 state,
                 worker,
                 listed,
-                lambda run: is_first or self.delivery.answered_s(*run) < sent_s,
+                lambda run: run in self._inherited or self.delivery.answered_s(*run) < sent_s,
             )
+            self._inherited.clear()
         self.delivery.retain_answers({(key, task.run) for key, task in worker.tasks.items()})
         worker.stray_runs &= listed
         lifecycle.stop_stray_runs(state, worker, listed)
