The census carries on which workers are settled

Cause: a term knows only 5 s after a worker's first listing that no such call matters, and what an earlier term knew was carried on by the records of runs alone, so not for a worker without one.

Change: the census says it of each worker. It is rewritten as often as 20 kB a second allow, and not at all beyond 500 kB, where the stored one stays in force. Which executors have answered is no longer kept for the whole term.

--- a/src/bronzequay/control/census.py
+++ b/src/bronzequay/control/census.py
@@ -4,7 +4,8 @@
 service's workers accept its calls. The next one takes it for fenced once it has reached half of
 them. Both must therefore count the same workers, although entries come and go meanwhile: those that
 the store holds under one key. Executors are counted, since a call to an earlier incarnation of one
-is refused by the next.
+is refused by the next. The census also keeps which incarnations are settled, which only a term that
+has followed them for some seconds can tell.
 """
 
 from __future__ import annotations
@@ -17,10 +18,15 @@
 from bronzequay import codec, ids
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable
     from collections.abc import Set as AbstractSet
 
-_Record = dict[ids.ServiceId, frozenset[ids.ExecutorId]]
+Present = dict[ids.ServiceId, dict[ids.ExecutorId, ids.WorkerId]]
+"""Executors of each service, with their incarnation if it is settled, else an empty id."""
+UNSETTLED = ids.WorkerId("")
+MAX_BYTES = 500_000
+"""Largest census that is stored, half of the store's limit on a value: some 12,000 workers. Beyond
+it the stored one stays, which both schedulers count."""
 
 _log = structlog.get_logger()
 
@@ -29,15 +35,15 @@
     """The counted workers of each service, as stored and as this term is storing them."""
 
     def __init__(self) -> None:
-        self._stored: _Record = {}
-        self._pending: _Record | None = None
+        self._stored: Present = {}
+        self._pending: Present | None = None
 
     def load(self, value: bytes | None) -> None:
         """Take over what the store holds; call it once earlier terms are fenced."""
         if value is None:
             return
         try:
-            self._stored = codec.from_msgpack(value, _Record)
+            self._stored = codec.from_msgpack(value, Present)
         except msgspec.DecodeError as exc:
             _log.error("census_unreadable", error=str(exc))
 
@@ -45,6 +51,11 @@
         """Return the services with counted workers."""
         return self._stored.keys()
 
+    def settled(self) -> set[ids.WorkerId]:
+        """Return the incarnations that are settled."""
+        workers = {worker for known in self._stored.values() for worker in known.values()}
+        return workers - {UNSETTLED}
+
     def counted(self, service: ids.ServiceId) -> frozenset[ids.ExecutorId]:
         """Return the counted workers of a service; all workers where it has none."""
         return _counted(self._stored, service)
@@ -72,28 +83,28 @@
 
     def propose(
         self,
-        present: Mapping[ids.ServiceId, AbstractSet[ids.ExecutorId]],
+        present: Present,
         may_replace: Callable[[ids.ServiceId], bool],
     ) -> bytes | None:
         """Return the next census to be stored, None if the stored one is up to date.
 
-        :param present: executors of each service that are listed and have answered this term
+        :param present: those that are listed and have answered this term
         :param may_replace: whether no earlier term counts the stored workers of a service any more
         """
         proposed = {
-            service: frozenset(present.get(service, ()))
-            if may_replace(service)
-            else self._stored[service]
+            service: present.get(service, {}) if may_replace(service) else self._stored[service]
             for service in self._stored.keys() | present.keys()
             if service in self._stored or may_replace(service)
         }
         proposed = {service: executors for service, executors in proposed.items() if executors}
         if proposed == self._stored:
             return None
+        value = msgspec.msgpack.encode(proposed)
+        if len(value) > MAX_BYTES:
+            _log.error("census_too_large", bytes=len(value), services=len(proposed))
+            return None
         self._pending = proposed
-        return msgspec.msgpack.encode(
-            {service: sorted(executors) for service, executors in sorted(proposed.items())}
-        )
+        return value
 
     def confirm(self) -> None:
         """Note that the proposed census has been stored."""
@@ -101,9 +112,9 @@
             self._stored, self._pending = self._pending, None
 
 
-def _counted(record: _Record, service: ids.ServiceId) -> frozenset[ids.ExecutorId]:
+def _counted(record: Present, service: ids.ServiceId) -> frozenset[ids.ExecutorId]:
     """Return a service's counted workers; all of them where it has none."""
-    return record.get(service) or frozenset().union(*record.values())
+    return frozenset(record.get(service) or {}) or frozenset().union(*record.values())
 
 
-__all__ = ["Census"]
+__all__ = ["UNSETTLED", "Census", "Present"]
--- a/src/bronzequay/control/roster.py
+++ b/src/bronzequay/control/roster.py
@@ -10,7 +10,7 @@
 import trio
 
 from bronzequay import clock, figures
-from bronzequay.control import freshness, late_starts, prefix, run_lease, session
+from bronzequay.control import census, freshness, late_starts, prefix, run_lease, session
 from bronzequay.core import lifecycle, losses, model, resize, rollout, settling
 from bronzequay.platform import executor_entries, workers
 
@@ -46,7 +46,6 @@
     :param term: the term that the sessions belong to
     :param drain_s: time after the announcement of a drain from which a worker gets no starts
     :ivar entries: how old the workers' entries are
-    :ivar reached: executors that have answered this term, and so refuse the calls of earlier ones
     :ivar first_listings: limits the sessions that read their first listing at the same time
     """
 
@@ -55,7 +54,6 @@
         self._term = term
         self.entries = freshness.Freshness("worker_entries", drain_s)
         self._sessions: dict[ids.ExecutorId, session.Session] = {}
-        self.reached: set[ids.ExecutorId] = set()
         self.first_listings = trio.CapacityLimiter(MAX_FIRST_LISTINGS)
         self._replaced: dict[ids.ExecutorId, late_starts.Replaced] = {}
         self._waits: dict[ids.ExecutorId, trio.CancelScope] = {}
@@ -66,14 +64,20 @@
         """Return the services that have workers."""
         return {open_session.service for open_session in self._sessions.values()}
 
-    def present(self) -> dict[ids.ServiceId, set[ids.ExecutorId]]:
+    def present(self, state: State) -> census.Present:
         """Return the executors of each service that are listed and have answered this term."""
-        present: dict[ids.ServiceId, set[ids.ExecutorId]] = {}
+        present: census.Present = {}
         for executor, current in self._sessions.items():
-            if current.is_listed and executor in self.reached:
-                present.setdefault(current.service, set()).add(executor)
+            if current.is_listed and current.is_reached:
+                is_settled = settling.is_settled(state, current.worker)
+                worker = current.worker if is_settled else census.UNSETTLED
+                present.setdefault(current.service, {})[executor] = worker
         return present
 
+    def reached(self) -> set[ids.ExecutorId]:
+        """Return the executors that have answered this term, and so refuse earlier ones."""
+        return {executor for executor, current in self._sessions.items() if current.is_reached}
+
     def is_executor_in_contact(self, executor: ids.ExecutorId) -> bool:
         """Return whether an executor has recently answered a call of its session."""
         current = self._sessions.get(executor)
@@ -248,7 +252,6 @@
 
     def on_first_listing(self, reached: session.Session) -> None:
         """End the sessions with earlier executors of a machine, one of which has just answered."""
-        self.reached.add(reached.entry.executor)
         started_s = reached.entry.spec.started_s
         for other in list(self._by_machine[reached.machine]):
             if other.entry.spec.started_s < started_s:
@@ -315,7 +318,7 @@
 
 def _add_worker(state: State, entry: executor_entries.ExecutorEntry) -> None:
     worker = lifecycle.add_worker(state, entry.spec)
-    settling.inherit(worker)
+    settling.inherit(state, worker)
     _update_worker(state, entry, worker.stated_s)
 
 
--- a/src/bronzequay/control/session.py
+++ b/src/bronzequay/control/session.py
@@ -30,17 +30,6 @@
 MAX_LISTED_ENDS = 500
 """Most ended runs that a worker puts into one listing; a longer list is cut."""
 
-_NOT_RENEWED = frozenset(
-    {
-        workers.Outcome.NOT_SENT,
-        workers.Outcome.NO_LISTENER,
-        workers.Outcome.OTHER_INCARNATION,
-        workers.Outcome.STALE_EPOCH,
-        workers.Outcome.REFUSED,
-    }
-)
-"""Outcomes of a renewal that has certainly not extended the leases."""
-
 _log = structlog.get_logger()
 
 
@@ -103,6 +92,11 @@
         self._pending: tuple[workers.Listing, float] | None = None
         self._is_first_pending = self._has_fillers_beside_serving = False
 
+    @property
+    def is_reached(self) -> bool:
+        """Return whether the worker has answered this session."""
+        return self._lease.is_clock_known
+
     @property
     def is_in_contact(self) -> bool:
         """Return whether the worker has recently accepted a call of this session."""
@@ -235,7 +229,7 @@
                     timeout_s=CALL_TIMEOUT_S,
                 )
         finally:
-            may_be_renewed = reply is None or reply.outcome not in _NOT_RENEWED
+            may_be_renewed = reply is None or reply.outcome not in workers.WITHOUT_EFFECT
             if deadline_ms is not None and may_be_renewed:
                 self._lease.extend(deadline_ms, run_lease.Basis.RENEWAL)
         return reply
--- a/src/bronzequay/control/succession.py
+++ b/src/bronzequay/control/succession.py
@@ -12,7 +12,7 @@
 from bronzequay.platform import instances, kv
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Iterable
     from collections.abc import Set as AbstractSet
 
     from bronzequay import ids
@@ -24,6 +24,8 @@
 CENSUS_S = 2.0
 """Shortest time between two writes of the census; entries that an outage of the store has removed
 are back within about as long."""
+CENSUS_BYTES_PER_S = 20_000.0
+"""Highest rate of these writes; the slowest links have 600,000 bytes a second for all calls."""
 LOG_S = 5.0
 """Time between two log entries on services whose earlier leases may still be renewed."""
 
@@ -44,17 +46,19 @@
         self._store = store
         self._lease = leader_lease
         self._census = census.Census()
-        self._written_s = self._logged_s = float("-inf")
+        self._next_census_s = self._logged_s = float("-inf")
 
-    async def load(self, holders: tuple[earlier_terms.Holder, ...]) -> None:
+    async def load(self, holders: tuple[earlier_terms.Holder, ...]) -> set[ids.WorkerId]:
         """Read the census and take over the earlier terms; call it once these are fenced.
 
+        :return: the settled workers
         :raises errors.BronzequayError: the store cannot be read
         """
         item = await self._store.get(keys.CENSUS)
         self._census.load(None if item is None else item.value)
         self.earlier.begin(holders, self._lease.instance, self._lease.requested_s)
         figures.gauge("earlier_terms_unended", lambda: len(self.earlier.holders))
+        return self._census.settled()
 
     async def run(self) -> None:
         """Ask the instances that held earlier terms until all of these have ended."""
@@ -90,18 +94,21 @@
         return is_in_time and self._census.is_majority(service, is_in_contact)
 
     def note_reached(
-        self, services: Iterable[ids.ServiceId], reached: AbstractSet[ids.ExecutorId]
+        self, services: Iterable[ids.ServiceId], find_reached: Callable[[], set[ids.ExecutorId]]
     ) -> None:
         """Note which services' workers refuse the calls of earlier terms.
 
         :param services: services of workers and of runs
-        :param reached: executors that have answered this term
+        :param find_reached: returns the executors that have answered this term
         """
         unfenced = {
             service
             for service in self._census.services() | set(services)
             if not self.earlier.is_fenced(service)
         }
+        if not unfenced:
+            return
+        reached = find_reached()
         for service in sorted(unfenced):
             if self._census.is_fenced(service, reached):
                 self.earlier.on_fenced(service)
@@ -125,21 +132,20 @@
         counted = self._census.counted(service)
         return {"service": service, "reached": len(counted & reached), "counted": len(counted)}
 
-    def next_census(
-        self, present: Callable[[], Mapping[ids.ServiceId, AbstractSet[ids.ExecutorId]]]
-    ) -> tuple[kv.Put, ...]:
+    def next_census(self, present: Callable[[], census.Present]) -> tuple[kv.Put, ...]:
         """Return the write of the census if it has changed and is due.
 
         ``on_stored`` must be called once it has taken effect.
 
-        :param present: returns the executors of each service that are listed and have answered
+        :param present: returns the executors that are listed and have answered this term
         """
-        if trio.current_time() < self._written_s + CENSUS_S:
+        if trio.current_time() < self._next_census_s:
             return ()
         value = self._census.propose(present(), self.earlier.is_fenced)
         if value is None:
             return ()
-        self._written_s = trio.current_time()
+        pause_s = max(CENSUS_S, len(value) / CENSUS_BYTES_PER_S)
+        self._next_census_s = trio.current_time() + pause_s
         return (kv.Put(keys.CENSUS, value),)
 
     def on_stored(self) -> None:
--- a/src/bronzequay/control/term.py
+++ b/src/bronzequay/control/term.py
@@ -287,7 +287,7 @@
     async def _run(self) -> None:
         self._read_clocks()
         await self._journal.fence_earlier_terms()
-        await self._succession.load(self._journal.earlier)
+        self._state.settled_workers = await self._succession.load(self._journal.earlier)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._upkeep.load, self._state)
             nursery.start_soon(self._intake.load, self._state, self._journal)
@@ -332,9 +332,9 @@
             self._end_runs_on_absent_workers()
             self._schedule()
             orphaned, self._intake.orphaned_cancels = self._intake.orphaned_cancels, set()
-            census = self._succession.next_census(self.roster.present)
+            puts = self._succession.next_census(lambda: self.roster.present(self._state))
             self._journal.earlier = self._succession.unended()
-            await self._journal.commit(self._state, orphaned, census)
+            await self._journal.commit(self._state, orphaned, puts)
             self._succession.on_stored()
             self._log_decisions()
             commands, self._state.commands = self._state.commands, []
--- a/src/bronzequay/core/settling.py
+++ b/src/bronzequay/core/settling.py
@@ -2,8 +2,8 @@
 
 A call that went unanswered may be carried out by a later incarnation of its worker: a renewal then
 extends the run leases there by the clock of the earlier one, and a start begins the run there. A
-term sees whether that can still happen on the workers that it has followed for long enough. Records
-of runs carry it to the next term, for the workers that this one does not reach.
+term sees whether that can still happen on the workers that it has followed for long enough. The
+census and the records of runs carry it to the next term, for the workers that it does not reach.
 """
 
 from __future__ import annotations
@@ -20,9 +20,10 @@
     from bronzequay.core.tasks import Task
 
 
-def inherit(worker: Worker) -> None:
-    """Mark a worker settled if an earlier term has recorded that of a run on it."""
-    worker.is_settled = any(task.is_settled for task in worker.tasks.values())
+def inherit(state: State, worker: Worker) -> None:
+    """Mark a worker settled if an earlier term has recorded that of it or of a run on it."""
+    is_recorded = worker.spec.worker in state.settled_workers
+    worker.is_settled = is_recorded or any(task.is_settled for task in worker.tasks.values())
 
 
 def settle(state: State, worker: Worker) -> None:
@@ -53,7 +54,7 @@
 def is_settled(state: State, worker_id: ids.WorkerId) -> bool:
     """Return whether a worker, which need not have joined, is known to be settled."""
     worker = state.workers.get(worker_id)
-    if worker is not None and worker.is_settled:
+    if (worker is not None and worker.is_settled) or worker_id in state.settled_workers:
         return True
     return any(task.is_settled for task in state.orphaned_tasks.get(worker_id, {}).values())
 
--- a/src/bronzequay/core/state.py
+++ b/src/bronzequay/core/state.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
+    from collections.abc import Set as AbstractSet
 
     from bronzequay import ids
     from bronzequay.core import losses, order, reserve, rollout, upkeep
@@ -216,6 +217,7 @@
     :ivar is_changed: whether another pass could start or stop more than the last one
     :ivar open_steps: steps that are ready and have waiting tasks
     :ivar reservations: room that steps wait for
+    :ivar settled_workers: workers that earlier terms knew to be settled, see ``Worker``
     :ivar orphaned_tasks: tasks placed on workers that have not joined, by worker
     :ivar unjudged_steps: steps with failed runs whose queue was not in the configuration
     :ivar suspect_steps: steps with tasks whose workers crashed as they started
@@ -256,6 +258,7 @@
         self.workers: dict[ids.WorkerId, Worker] = {}
         self.open_steps: dict[model.StepKey, StepRun] = {}
         self.reservations: dict[model.StepKey, reserve.Reservation] = {}
+        self.settled_workers: AbstractSet[ids.WorkerId] = frozenset()
         self.orphaned_tasks: dict[ids.WorkerId, dict[model.TaskKey, Task]] = {}
         self.unjudged_steps: set[model.StepKey] = set()
         self.suspect_steps: set[model.StepKey] = set()
--- a/src/bronzequay/platform/workers.py
+++ b/src/bronzequay/platform/workers.py
@@ -37,6 +37,16 @@
     UNKNOWN = "unknown"
 
 
+WITHOUT_EFFECT = frozenset(
+    {
+        Outcome.NOT_SENT,
+        Outcome.NO_LISTENER,
+        Outcome.OTHER_INCARNATION,
+        Outcome.STALE_EPOCH,
+        Outcome.REFUSED,
+    }
+)
+"""Outcomes of a renewal that has certainly not extended the leases."""
 _OUTCOMES_BY_REASON = {
     "fence": Outcome.STALE_EPOCH,
     "old": Outcome.STALE_RUN,
@@ -298,6 +308,7 @@
 
 
 __all__ = [
+    "WITHOUT_EFFECT",
     "ActiveRun",
     "EndedRun",
     "Listing",
--- a/tests/control/test_census.py
+++ b/tests/control/test_census.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from typing import TYPE_CHECKING
 
 import hypothesis
 from hypothesis import strategies as st
@@ -10,14 +11,21 @@
 from bronzequay import ids
 from bronzequay.control import census, earlier_terms
 
+if TYPE_CHECKING:
+    import pytest
+
 SERVICE = ids.ServiceId("service")
 EXECUTORS = [ids.ExecutorId(f"i-{number}") for number in range(6)]
 SUBSETS = st.sets(st.sampled_from(EXECUTORS)).map(frozenset)
 
 
+def present(*executors: ids.ExecutorId) -> census.Present:
+    return {SERVICE: dict.fromkeys(executors, census.UNSETTLED)}
+
+
 def stored(*executors: ids.ExecutorId) -> census.Census:
     found = census.Census()
-    found.propose({SERVICE: set(executors)}, lambda _: True)
+    found.propose(present(*executors), lambda _: True)
     found.confirm()
     return found
 
@@ -36,7 +44,7 @@
 
 def test_a_census_that_is_being_written_counts_besides_the_stored_one() -> None:
     found = stored(*EXECUTORS[:4])
-    assert found.propose({SERVICE: set(EXECUTORS[3:])}, lambda _: True)
+    assert found.propose(present(*EXECUTORS[3:]), lambda _: True)
     assert not found.is_majority(SERVICE, set(EXECUTORS[:4]).__contains__)
     assert not found.is_majority(SERVICE, set(EXECUTORS[3:]).__contains__)
     assert found.is_majority(SERVICE, set(EXECUTORS[1:]).__contains__)
@@ -46,10 +54,19 @@
 
 def test_workers_that_an_earlier_term_counts_are_not_replaced() -> None:
     found = stored(*EXECUTORS[:4])
-    assert found.propose({SERVICE: set(EXECUTORS[4:])}, lambda _: False) is None
+    assert found.propose(present(*EXECUTORS[4:]), lambda _: False) is None
     assert found.counted(SERVICE) == set(EXECUTORS[:4])
 
 
+def test_a_census_over_the_limit_leaves_the_stored_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a term that cannot write anything because its census is too large."""
+    found = stored(*EXECUTORS[:2])
+    monkeypatch.setattr(census, "MAX_BYTES", 20)
+    assert found.propose(present(*EXECUTORS), lambda _: True) is None
+    found.confirm()
+    assert found.counted(SERVICE) == set(EXECUTORS[:2])
+
+
 def test_an_unreadable_census_counts_no_workers() -> None:
     found = census.Census()
     found.load(b"\xc1")
--- a/tests/control/test_earlier_terms.py
+++ b/tests/control/test_earlier_terms.py
@@ -165,3 +165,28 @@
     await trio.sleep(lease.MAX_UNCONFIRMED_S / 2)
     assert all(executor.runs for executor in apart)
     site.check_runs()
+
+
+async def test_work_of_a_short_term_waits_no_longer_than_that_of_a_long_one(
+    autojump_clock: MockClock, site: Site
+) -> None:
+    """Guards against a wait of 28 s for runs of a term that ended before it knew their worker."""
+    fleet = [site.add_executor(number) for number in range(1, 5)]
+    for executor in fleet:
+        executor.beats = True
+    site.start_scheduler("a")
+    await site.wait_until(site.leader)
+    await trio.sleep(SETTLED_S)
+    site.start_scheduler("b")
+    site.kill("a")
+    await site.wait_until(lambda: site.leader() == "b")
+    site.start_scheduler("a")
+    site.submit(plan=tasks.Plan(run_s=RUN_S))
+    await site.wait_until(lambda: site.events("start"))
+    await trio.sleep(1.0)
+    site.kill("b")
+    lost = [executor for executor in fleet if executor.runs]
+    await lose(site, lost, listed_s=SILENT_ENTRY_S)
+    site.start_scheduler("b")
+    await site.wait_until(lambda: running_again(site, lost), timeout_s=FINISH_S - SILENT_ENTRY_S)
+    site.check_runs()
